--- /dev/null
+++ b/internal/entry/platform.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/settings"
+)
+
+// watchMargin is added to the platform's own wait of a watch before the call is given up.
+const watchMargin = 20 * time.Second
+
+func newPlatformStore(set *settings.Settings, met metrics.Registry) platform.Store {
+	htc := &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 16,
+		},
+	}
+	pst := platform.New("http://"+set.Platform.Address, htc, metrics.GetOrRegisterCounter("PlatformCalls", met)).Store()
+	return withTimeouts(pst, set.Platform.Timeout)
+}
+
+// withTimeouts bounds each call, so that a platform that hangs is seen as out.
+func withTimeouts(pst platform.Store, tmo time.Duration) platform.Store {
+	lim := pst
+	lim.Get = func(ctx context.Context, kind, name string) (platform.Object, error) {
+		ctx, cancel := context.WithTimeout(ctx, tmo)
+		defer cancel()
+		return pst.Get(ctx, kind, name)
+	}
+	lim.List = func(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+		ctx, cancel := context.WithTimeout(ctx, tmo)
+		defer cancel()
+		return pst.List(ctx, kind)
+	}
+	lim.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
+		ctx, cancel := context.WithTimeout(ctx, tmo)
+		defer cancel()
+		return pst.Put(ctx, kind, name, expected, value)
+	}
+	lim.Delete = func(ctx context.Context, kind, name string, expected uint64) error {
+		ctx, cancel := context.WithTimeout(ctx, tmo)
+		defer cancel()
+		return pst.Delete(ctx, kind, name, expected)
+	}
+	lim.Watch = func(ctx context.Context, kind string, since uint64) ([]platform.Object, uint64, error) {
+		ctx, cancel := context.WithTimeout(ctx, watchMargin)
+		defer cancel()
+		return pst.Watch(ctx, kind, since)
+	}
+	lim.VMs = func(ctx context.Context) ([]platform.VM, error) {
+		ctx, cancel := context.WithTimeout(ctx, tmo)
+		defer cancel()
+		return pst.VMs(ctx)
+	}
+	return lim
+}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/backend"
+	"github.com/cumintally/cumintally/internal/caller"
 	"github.com/cumintally/cumintally/internal/dispatch"
 	"github.com/cumintally/cumintally/internal/evidence"
 	"github.com/cumintally/cumintally/internal/generation"
@@ -133,3 +134,13 @@
 		ost.counts[cand.Group.Name]--
 	}, nil
 }
+
+func newCaller(deps callerParts) *caller.Handler {
+	set := deps.Settings
+	cfg := caller.Config{
+		MaxBodySize: set.Requests.MaxBodySize,
+		Timeout:     set.Requests.Timeout,
+		TokenKey:    []byte(set.Peers.Key),
+	}
+	return caller.New(cfg, deps.Dispatcher, deps.Services, deps.Workspaces, deps.Store, deps.Clock, deps.Log)
+}
