Spread generations and platform objects by gossip

Two daemons of a zone watch the platform; the others get what they lack from peers. A daemon that has just started serves only after it has heard of the highest generation, from the platform or, while that is out, from every live peer.

Ruled out: a watch of each daemon, whose waiting calls grow with the fleet (410 daemons x 3 kinds against about 2,000 reads a second that the platform counts).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,7 +13,7 @@
 
 	"github.com/cumintally/cumintally/internal/caller"
 	"github.com/cumintally/cumintally/internal/controller"
-	"github.com/cumintally/cumintally/internal/generation"
+	"github.com/cumintally/cumintally/internal/gossip"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/operator"
 	"github.com/cumintally/cumintally/internal/peer"
@@ -39,7 +39,8 @@
 	Log        *zap.Logger
 	Mesh       *peer.Mesh
 	Membership *zone.Membership
-	Store      *generation.Store
+	Gossip     *gossip.Gossip
+	Follower   *follower
 	Inventory  *inventory.Inventory
 	Prober     *probe.Prober
 	Controller *controller.Controller
@@ -114,18 +115,14 @@
 
 // start runs the loops that follow the platform and the peers.
 func (ent *Entry) start(ctx context.Context, wgr *sync.WaitGroup) {
-	inv := ent.dep.Inventory
+	fol := ent.dep.Follower
 	wgr.Go(func() { ent.dep.Membership.Run(ctx) })
+	wgr.Go(func() { ent.dep.Gossip.Run(ctx) })
 	wgr.Go(func() { ent.dep.Prober.Run(ctx) })
-	wgr.Go(func() { inv.FollowVMs(ctx) })
-	wgr.Go(func() { inv.Follow(ctx, platform.KindAllocation, inv.TakeAllocation) })
-	wgr.Go(func() { inv.Follow(ctx, platform.KindZone, inv.TakeZone) })
-	wgr.Go(func() { inv.Follow(ctx, platform.KindDocument, ent.takeDocument) })
-}
-
-func (ent *Entry) takeDocument(ctx context.Context, obj platform.Object) {
-	if err := ent.dep.Store.Take(ctx, obj); err != nil {
-		ent.dep.Log.Named("entry").Error("cannot put a document in force", zap.Error(err))
+	wgr.Go(func() { ent.dep.Inventory.FollowVMs(ctx) })
+	wgr.Go(func() { fol.settle(ctx) })
+	for _, kind := range []string{platform.KindAllocation, platform.KindZone, platform.KindDocument} {
+		wgr.Go(func() { fol.follow(ctx, kind) })
 	}
 }
 
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -28,6 +28,8 @@
 	newMembership,
 	newStore,
 	newInventory,
+	newGossip,
+	newFollower,
 	newTable,
 	newProber,
 	newLease,
--- a/internal/generation/store.go
+++ b/internal/generation/store.go
@@ -22,9 +22,13 @@
 	pst         platform.Store
 	log         *zap.Logger
 
-	applying sync.Mutex
-	parts    map[string][]byte
-	inForce  atomic.Pointer[Snapshot]
+	settled atomic.Bool
+	inForce atomic.Pointer[Snapshot]
+
+	mu      sync.Mutex
+	head    Head
+	parts   map[string][]byte
+	history history
 }
 
 // New returns a store for an environment that fetches parts from the platform.
@@ -39,13 +43,34 @@
 	return sto
 }
 
-// InForce returns the document in force; it must not be changed.
+// InForce returns the document in force, which must not be changed, or an empty one before Settle.
 func (sto *Store) InForce() *Snapshot {
+	if !sto.settled.Load() {
+		return &Snapshot{}
+	}
 	return sto.inForce.Load()
 }
 
-// Take applies an object of kind Document if it is this environment's and newer than what is in force.
-func (sto *Store) Take(ctx context.Context, obj platform.Object) error {
+// Settle tells the store that it has heard of the highest generation known in the zone. A daemon that
+// has just started must not serve before, since it could serve a generation that was replaced.
+func (sto *Store) Settle() {
+	if !sto.settled.Swap(true) {
+		sto.log.Info("the highest known generation is in force", zap.Uint64("generation", sto.Position()))
+	}
+}
+
+// Settled reports whether Settle was called.
+func (sto *Store) Settled() bool {
+	return sto.settled.Load()
+}
+
+// Position returns the highest generation applied.
+func (sto *Store) Position() uint64 {
+	return sto.inForce.Load().Generation
+}
+
+// TakeObject applies an object of kind Document if it is this environment's.
+func (sto *Store) TakeObject(ctx context.Context, obj platform.Object) error {
 	if obj.Name != sto.environment || obj.Deleted {
 		return nil
 	}
@@ -53,20 +78,20 @@
 	if err := json.Unmarshal(obj.Value, &hed); err != nil {
 		return errors.Annotatef(ErrIncomplete, "document object: %v", err)
 	}
-	return sto.Apply(ctx, hed)
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	return sto.apply(ctx, hed, nil)
 }
 
-// Apply fetches the parts that changed and puts the generation in force, unless a newer one already is.
-func (sto *Store) Apply(ctx context.Context, hed Head) error {
-	sto.applying.Lock()
-	defer sto.applying.Unlock()
-	if hed.Generation <= sto.InForce().Generation {
+// apply fetches the parts that changed and puts the generation in force, unless a newer one already is.
+func (sto *Store) apply(ctx context.Context, hed Head, given map[string][]byte) error {
+	if hed.Generation <= sto.head.Generation {
 		return nil
 	}
 	kept := map[string][]byte{}
 	pts := make([]document.Part, 0, len(hed.Parts))
 	for _, ref := range hed.Parts {
-		val, err := sto.part(ctx, ref.Digest)
+		val, err := sto.part(ctx, ref.Digest, given)
 		if err != nil {
 			return errors.Annotatef(ErrIncomplete, "generation %d, part %s: %v", hed.Generation, ref.Name, err)
 		}
@@ -81,6 +106,11 @@
 	if err != nil {
 		return errors.Annotatef(ErrIncomplete, "generation %d: %v", hed.Generation, err)
 	}
+	if document.Digest(pts) != hed.Digest {
+		return errors.Annotatef(ErrIncomplete, "generation %d: its parts do not match its digest", hed.Generation)
+	}
+	sto.history.add(sto.head)
+	sto.head = hed
 	sto.parts = kept
 	sto.inForce.Store(&Snapshot{
 		Generation: hed.Generation,
@@ -91,10 +121,14 @@
 	return nil
 }
 
-func (sto *Store) part(ctx context.Context, digest string) ([]byte, error) {
+// part returns the content of a part: kept from the generation before, given by a peer, or the platform's.
+func (sto *Store) part(ctx context.Context, digest string, given map[string][]byte) ([]byte, error) {
 	if val, ok := sto.parts[digest]; ok {
 		return val, nil
 	}
+	if val, ok := given[digest]; ok {
+		return val, nil
+	}
 	obj, err := sto.pst.Get(ctx, platform.KindPart, digest)
 	return obj.Value, err
 }
--- a/internal/zone/membership.go
+++ b/internal/zone/membership.go
@@ -61,6 +61,11 @@
 	return mbs
 }
 
+// Self returns this daemon's own identity.
+func (mbs *Membership) Self() peer.Identity {
+	return mbs.msh.Self()
+}
+
 // Run pings the peers until ctx ends.
 func (mbs *Membership) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"sort"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -64,7 +65,8 @@
 	Value  []byte
 }
 
-// Parts splits the document into one part for each entry, in the order of the document.
+// Parts splits the document into one part for each entry, ordered by name, so that documents which
+// differ only in the order of their entries have the same digest.
 func (doc *Document) Parts() []Part {
 	var pts []Part
 	pts = appendParts(pts, "AvailabilityZones", doc.AvailabilityZones, func(val AvailabilityZone) string { return val.Name })
@@ -73,6 +75,7 @@
 	pts = appendParts(pts, "Services", doc.Services, func(val Service) string { return val.Name })
 	pts = appendParts(pts, "Workspaces", doc.Workspaces, func(val Workspace) string { return val.Name })
 	pts = appendParts(pts, "ServiceLevels", doc.ServiceLevels, func(val ServiceLevel) string { return val.Name })
+	sort.Slice(pts, func(fst, snd int) bool { return pts[fst].Name < pts[snd].Name })
 	return pts
 }
 
@@ -89,7 +92,7 @@
 	return pts
 }
 
-// Digest returns the document's digest: the hash of its parts' names and digests.
+// Digest returns the document's digest: the hash of its parts' names and digests, in the order of Parts.
 func Digest(pts []Part) string {
 	hsh := sha256.New()
 	for _, prt := range pts {
