Give operators config status and diff; settle lost answers of a promotion

A promotion whose answer was lost was read back once and reported as a conflict when the write had not taken effect yet; it could still arrive later. The write is now repeated under the same condition and token until its outcome is certain.

--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -12,7 +12,9 @@
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/operator"
+	"github.com/cumintally/cumintally/internal/peer"
 	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/rollout"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/zone"
 )
@@ -53,9 +55,18 @@
 	inv *inventory.Inventory,
 	tab *evidence.Table,
 	mbs *zone.Membership,
+	rol *rollout.Rollout,
 	met metrics.Registry,
 	pst platform.Store,
 	log *zap.Logger,
 ) *operator.Handler {
-	return operator.New(set.Operators.Key, set.Entry.AvailabilityZone, sto, inv, tab, mbs, met, orderZone(pst, inv), log)
+	return operator.New(set.Operators.Key, set.Entry.AvailabilityZone, sto, inv, tab, mbs, rol, met, orderZone(pst, inv), log)
+}
+
+func newRollout(msh *peer.Mesh, sto *generation.Store, inv *inventory.Inventory) *rollout.Rollout {
+	vms := func() []platform.VM {
+		all, _ := inv.VMs()
+		return all
+	}
+	return rollout.New(msh, sto, vms)
 }
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -38,6 +38,7 @@
 	newServiceCaller,
 	newWorkspaces,
 	newCaller,
+	newRollout,
 	newOperator,
 }
 
--- a/internal/generation/operations.go
+++ b/internal/generation/operations.go
@@ -18,6 +18,9 @@
 	ErrNotTried = errors.ConstError("generation: not tried")
 )
 
+// maxWriteAttempts bounds how often a write with a lost answer is repeated.
+const maxWriteAttempts = 3
+
 // Trial is the object Trial/<digest>: the result of a trial.
 type Trial struct {
 	Digest string
@@ -60,16 +63,10 @@
 	if err != nil {
 		return Head{}, errors.Trace(err)
 	}
-	var old Head
-	obj, err := sto.pst.Get(ctx, platform.KindDocument, sto.environment)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	old, ver, err := sto.read(ctx)
+	if err != nil {
 		return Head{}, errors.Trace(err)
 	}
-	if err == nil {
-		if err := json.Unmarshal(obj.Value, &old); err != nil {
-			return Head{}, errors.Trace(err)
-		}
-	}
 	if old.Generation != replaces {
 		return Head{}, errors.Annotatef(ErrConflict, "the call replaces generation %d, but generation %d is accepted", replaces, old.Generation)
 	}
@@ -84,18 +81,54 @@
 	if err != nil {
 		return Head{}, errors.Trace(err)
 	}
-	_, err = sto.pst.Put(ctx, platform.KindDocument, sto.environment, obj.Version, val)
-	switch {
-	case errors.Is(err, platform.ErrUnknownOutcome):
-		return hed, sto.readBack(ctx, hed)
-	case errors.Is(err, platform.ErrConflict):
-		return Head{}, errors.Annotatef(ErrConflict, "another operator replaced generation %d first", replaces)
-	case err != nil:
+	if err := sto.accept(ctx, ver, hed, val); err != nil {
 		return Head{}, errors.Trace(err)
 	}
 	return hed, nil
 }
 
+// accept writes the head. After a lost answer the write is repeated under the same condition and with
+// the same token, so that it takes effect at most once, also when the first one arrives late.
+func (sto *Store) accept(ctx context.Context, expected uint64, hed Head, val []byte) error {
+	var err error
+	for range maxWriteAttempts {
+		_, err = sto.pst.Put(ctx, platform.KindDocument, sto.environment, expected, val)
+		if !errors.Is(err, platform.ErrUnknownOutcome) && !errors.Is(err, platform.ErrConflict) {
+			return errors.Trace(err)
+		}
+		now, readErr := sto.Accepted(ctx)
+		if readErr != nil {
+			return errors.Annotatef(platform.ErrUnknownOutcome, "read back: %v", readErr)
+		}
+		if now.Writer == hed.Writer {
+			return nil
+		}
+		if now.Generation >= hed.Generation {
+			return errors.Annotatef(ErrConflict, "generation %d was accepted in place of this generation %d", now.Generation, hed.Generation)
+		}
+	}
+	return errors.Trace(err)
+}
+
+// Accepted returns the head that the platform holds now, an empty one if there is none.
+func (sto *Store) Accepted(ctx context.Context) (Head, error) {
+	hed, _, err := sto.read(ctx)
+	return hed, errors.Trace(err)
+}
+
+// read returns the accepted head and its version, both zero if there is none.
+func (sto *Store) read(ctx context.Context) (Head, uint64, error) {
+	var hed Head
+	obj, err := sto.pst.Get(ctx, platform.KindDocument, sto.environment)
+	if errors.Is(err, platform.ErrNotFound) {
+		return hed, 0, nil
+	}
+	if err != nil {
+		return hed, 0, errors.Trace(err)
+	}
+	return hed, obj.Version, errors.Trace(json.Unmarshal(obj.Value, &hed))
+}
+
 func (sto *Store) trial(ctx context.Context, digest string) (Trial, error) {
 	var trl Trial
 	obj, err := sto.pst.Get(ctx, platform.KindTrial, digest)
@@ -113,19 +146,3 @@
 	}
 	return trl, nil
 }
-
-// readBack settles a write whose answer was lost.
-func (sto *Store) readBack(ctx context.Context, hed Head) error {
-	obj, err := sto.pst.Get(ctx, platform.KindDocument, sto.environment)
-	if err != nil {
-		return errors.Annotate(platform.ErrUnknownOutcome, err.Error())
-	}
-	var now Head
-	if err := json.Unmarshal(obj.Value, &now); err != nil {
-		return errors.Trace(err)
-	}
-	if now.Writer != hed.Writer {
-		return errors.Annotatef(ErrConflict, "generation %d was accepted in place of generation %d", now.Generation, hed.Generation)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/generation/store_test.go
@@ -0,0 +1,214 @@
+package generation_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"github.com/cumintally/cumintally/internal/generation"
+	"github.com/cumintally/cumintally/internal/platform"
+	standin "github.com/cumintally/cumintally/internal/standin/platform"
+	"github.com/cumintally/cumintally/pkg/document"
+)
+
+const environment = "production"
+
+func newStore(pst platform.Store) *generation.Store {
+	return generation.New(environment, pst, zap.NewNop())
+}
+
+// newDocument returns a document with a workspace for each share.
+func newDocument(shares ...int) *document.Document {
+	doc := &document.Document{
+		AvailabilityZones: []document.AvailabilityZone{
+			{
+				Name:   "zone-1",
+				Region: "region-1",
+			},
+		},
+	}
+	for idx, shr := range shares {
+		doc.Workspaces = append(doc.Workspaces, document.Workspace{
+			Name:      fmt.Sprintf("workspace-%d", idx),
+			KeyHashes: []string{strings.Repeat("a", 64)},
+			Share:     shr,
+		})
+	}
+	return doc
+}
+
+// promote proves and accepts a document.
+func promote(ctx context.Context, sto *generation.Store, doc *document.Document, replaces uint64) (generation.Head, error) {
+	trl, err := sto.Try(ctx, doc)
+	if err != nil {
+		return generation.Head{}, err
+	}
+	return sto.Promote(ctx, trl.Digest, replaces)
+}
+
+// follow applies the accepted generation as a watcher of the platform does.
+func follow(ctx context.Context, pst platform.Store, sto *generation.Store) error {
+	obj, err := pst.Get(ctx, platform.KindDocument, environment)
+	if err != nil {
+		return err
+	}
+	return sto.TakeObject(ctx, obj)
+}
+
+// TestNeverReverts guards against a late, lower generation that replaces a higher one.
+func TestNeverReverts(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	pst := standin.NewStore().Platform()
+	sto := newStore(pst)
+	sto.Settle()
+	_, err := promote(ctx, sto, newDocument(1), 0)
+	c.Assert(err, qt.IsNil)
+	old, err := pst.Get(ctx, platform.KindDocument, environment)
+	c.Assert(err, qt.IsNil)
+	_, err = promote(ctx, sto, newDocument(2), 1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(follow(ctx, pst, sto), qt.IsNil)
+	c.Assert(sto.InForce().Generation, qt.Equals, uint64(2))
+	c.Assert(sto.TakeObject(ctx, old), qt.IsNil)
+	c.Assert(sto.InForce().Generation, qt.Equals, uint64(2))
+	c.Assert(sto.InForce().Document.Workspaces[0].Share, qt.Equals, 2)
+}
+
+// TestServesOnlyWhenSettled guards against a restarted daemon that serves a replaced generation.
+func TestServesOnlyWhenSettled(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	pst := standin.NewStore().Platform()
+	sto := newStore(pst)
+	_, err := promote(ctx, sto, newDocument(1), 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(follow(ctx, pst, sto), qt.IsNil)
+	c.Assert(sto.InForce().Generation, qt.Equals, uint64(0))
+	sto.Settle()
+	c.Assert(sto.InForce().Generation, qt.Equals, uint64(1))
+}
+
+// TestRacingOperators guards against an operator who silently overwrites another one's promotion.
+func TestRacingOperators(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	pst := standin.NewStore().Platform()
+	sto := newStore(pst)
+	_, err := promote(ctx, sto, newDocument(1), 0)
+	c.Assert(err, qt.IsNil)
+	_, err = promote(ctx, sto, newDocument(2), 0)
+	c.Assert(errors.Is(err, generation.ErrConflict), qt.IsTrue)
+	c.Assert(err, qt.ErrorMatches, ".*replaces generation 0, but generation 1 is accepted.*")
+}
+
+// TestLostAnswer guards against a promotion that is reported as failed although it took effect, and
+// against one reported as accepted although another one won.
+func TestLostAnswer(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	pst := standin.NewStore().Platform()
+	losing := pst
+	losing.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
+		ver, err := pst.Put(ctx, kind, name, expected, value)
+		if kind == platform.KindDocument && err == nil {
+			return 0, platform.ErrUnknownOutcome
+		}
+		return ver, err
+	}
+	hed, err := promote(ctx, newStore(losing), newDocument(1), 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(hed.Generation, qt.Equals, uint64(1))
+	notWritten := pst
+	notWritten.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
+		if kind == platform.KindDocument {
+			return 0, platform.ErrUnknownOutcome
+		}
+		return pst.Put(ctx, kind, name, expected, value)
+	}
+	_, err = promote(ctx, newStore(notWritten), newDocument(2), 1)
+	c.Assert(errors.Is(err, platform.ErrUnknownOutcome), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// TestLostAnswerToLoser guards against a promotion reported as accepted although another one won.
+func TestLostAnswerToLoser(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	pst := standin.NewStore().Platform()
+	racing := pst
+	racing.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
+		if kind != platform.KindDocument {
+			return pst.Put(ctx, kind, name, expected, value)
+		}
+		_, _ = promote(ctx, newStore(pst), newDocument(3), 0)
+		return 0, platform.ErrUnknownOutcome
+	}
+	_, err := promote(ctx, newStore(racing), newDocument(2), 0)
+	c.Assert(errors.Is(err, generation.ErrConflict), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(err, qt.ErrorMatches, ".*generation 1 was accepted in place of this generation 1.*")
+}
+
+// TestNotTried guards against a promotion of a document that has not passed its trial.
+func TestNotTried(t *testing.T) {
+	c := qt.New(t)
+	_, err := newStore(standin.NewStore().Platform()).Promote(context.Background(), "digest", 0)
+	c.Assert(errors.Is(err, generation.ErrNotTried), qt.IsTrue)
+}
+
+// TestDifferences guards against daemons that differ after exchanging differences from any base, in any
+// order, with old ones among them.
+func TestDifferences(t *testing.T) {
+	rapid.Check(t, func(rpt *rapid.T) {
+		ctx := context.Background()
+		must := func(err error) {
+			if err != nil {
+				rpt.Fatalf("%v", err)
+			}
+		}
+		pst := standin.NewStore().Platform()
+		leader := newStore(pst)
+		leader.Settle()
+		// The follower has no platform, so that everything must come with the differences.
+		follower := newStore(platform.Store{
+			Get: func(context.Context, string, string) (platform.Object, error) {
+				return platform.Object{}, platform.ErrUnavailable
+			},
+		})
+		follower.Settle()
+		var sent [][]byte
+		for gen := range rapid.IntRange(1, 8).Draw(rpt, "generations") {
+			shares := rapid.SliceOfN(rapid.IntRange(1, 3), 1, 5).Draw(rpt, "shares")
+			_, err := promote(ctx, leader, newDocument(shares...), uint64(gen))
+			must(err)
+			must(follow(ctx, pst, leader))
+			dif, err := leader.Since(uint64(rapid.IntRange(0, gen).Draw(rpt, "base")))
+			must(err)
+			sent = append(sent, dif)
+			// A difference from another base may not apply, but must not do harm.
+			before := follower.Position()
+			_ = follower.Take(ctx, sent[rapid.IntRange(0, len(sent)-1).Draw(rpt, "late")])
+			if follower.Position() < before {
+				rpt.Fatalf("generation %d replaced generation %d", follower.Position(), before)
+			}
+		}
+		dif, err := leader.Since(follower.Position())
+		must(err)
+		if dif != nil {
+			must(follower.Take(ctx, dif))
+		}
+		want, err := json.Marshal(leader.InForce())
+		must(err)
+		got, err := json.Marshal(follower.InForce())
+		must(err)
+		if string(got) != string(want) {
+			rpt.Fatalf("the follower has %s, the leader %s", got, want)
+		}
+	})
+}
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/subtle"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
@@ -16,10 +15,13 @@
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/rollout"
 	"github.com/cumintally/cumintally/internal/zone"
-	"github.com/cumintally/cumintally/pkg/document"
 )
 
+// maxOrderSize is the largest body in bytes of an operator's order.
+const maxOrderSize = 1 << 16
+
 // Handler serves operators.
 type Handler struct {
 	key  string
@@ -28,6 +30,7 @@
 	inv  *inventory.Inventory
 	tab  *evidence.Table
 	mbs  *zone.Membership
+	rol  *rollout.Rollout
 	met  metrics.Registry
 	log  *zap.Logger
 	// orderZone takes a zone in or out of service.
@@ -42,6 +45,7 @@
 	inv *inventory.Inventory,
 	tab *evidence.Table,
 	mbs *zone.Membership,
+	rol *rollout.Rollout,
 	met metrics.Registry,
 	orderZone func(ctx context.Context, name string, out bool) (inventory.Zone, error),
 	log *zap.Logger,
@@ -53,6 +57,7 @@
 		inv:       inv,
 		tab:       tab,
 		mbs:       mbs,
+		rol:       rol,
 		met:       met,
 		log:       log.Named("operator"),
 		orderZone: orderZone,
@@ -65,6 +70,8 @@
 	rtr.Use(hnd.authenticate)
 	rtr.Get("/metrics", hnd.metrics)
 	rtr.Get("/status", hnd.status)
+	rtr.Get("/config/status", hnd.configStatus)
+	rtr.Get("/config/parts", hnd.configParts)
 	rtr.Post("/config/try", hnd.try)
 	rtr.Post("/config/promote", hnd.promote)
 	rtr.Get("/zones/{name}", hnd.showZone)
@@ -84,38 +91,6 @@
 	})
 }
 
-func (hnd *Handler) try(rsw http.ResponseWriter, req *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(rsw, req.Body, document.MaxSize))
-	if err != nil {
-		writeError(rsw, http.StatusRequestEntityTooLarge, err.Error())
-		return
-	}
-	doc, err := document.Parse("document", data)
-	if err != nil {
-		writeError(rsw, http.StatusUnprocessableEntity, err.Error())
-		return
-	}
-	trl, err := hnd.sto.Try(req.Context(), doc)
-	hnd.answer(rsw, trl, err)
-}
-
-// Promotion is the body of a promotion.
-type Promotion struct {
-	Digest string
-	// Replaces is the generation that the operator means to replace, 0 for the first.
-	Replaces uint64
-}
-
-func (hnd *Handler) promote(rsw http.ResponseWriter, req *http.Request) {
-	var prm Promotion
-	if err := json.NewDecoder(http.MaxBytesReader(rsw, req.Body, 1<<16)).Decode(&prm); err != nil {
-		writeError(rsw, http.StatusBadRequest, err.Error())
-		return
-	}
-	hed, err := hnd.sto.Promote(req.Context(), prm.Digest, prm.Replaces)
-	hnd.answer(rsw, hed, err)
-}
-
 // ZoneOrder is the body of an order to a zone.
 type ZoneOrder struct {
 	Out bool
@@ -123,7 +98,7 @@
 
 func (hnd *Handler) setZone(rsw http.ResponseWriter, req *http.Request) {
 	var ord ZoneOrder
-	if err := json.NewDecoder(http.MaxBytesReader(rsw, req.Body, 1<<16)).Decode(&ord); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(rsw, req.Body, maxOrderSize)).Decode(&ord); err != nil {
 		writeError(rsw, http.StatusBadRequest, err.Error())
 		return
 	}
--- /dev/null
+++ b/internal/standin/fleet/build.go
@@ -0,0 +1,31 @@
+package fleet
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+
+	"github.com/juju/errors"
+)
+
+// module is the path of the module that the programs belong to.
+const module = "github.com/cumintally/cumintally"
+
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "cumintally-bin-")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator), module+"/cmd/...")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", errors.Annotatef(err, "go build: %s", out)
+	}
+	return dir, nil
+})
+
+// Build builds the programs once in a process and returns their folder, which the caller removes at the
+// end of the process.
+func Build() (string, error) {
+	return build()
+}
--- a/internal/verb/remote.go
+++ b/internal/verb/remote.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 
 	"github.com/juju/errors"
@@ -63,13 +62,13 @@
 	return data, nil
 }
 
-// print writes an answer as indented JSON.
-func printJSON(data []byte) error {
+// printJSON writes an answer as indented JSON.
+func printJSON(cmd *cli.Command, data []byte) error {
 	var out bytes.Buffer
 	if err := json.Indent(&out, bytes.TrimSpace(data), "", "  "); err != nil {
 		return errors.Trace(err)
 	}
 	out.WriteByte('\n')
-	_, err := out.WriteTo(os.Stdout)
+	_, err := out.WriteTo(cmd.Root().Writer)
 	return errors.Trace(err)
 }
--- a/internal/verb/settings.go
+++ b/internal/verb/settings.go
@@ -32,10 +32,10 @@
 	}
 }
 
-func (opt *settingsOptions) print(context.Context, *cli.Command) error {
+func (opt *settingsOptions) print(_ context.Context, cmd *cli.Command) error {
 	set, err := settings.New(opt.path, os.Environ())
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return set.Print(os.Stdout)
+	return set.Print(cmd.Root().Writer)
 }
--- a/internal/verb/status.go
+++ b/internal/verb/status.go
@@ -24,10 +24,10 @@
 	}
 }
 
-func (opt *statusOptions) run(ctx context.Context, _ *cli.Command) error {
+func (opt *statusOptions) run(ctx context.Context, cmd *cli.Command) error {
 	ans, err := opt.rem.call(ctx, http.MethodGet, "/status", nil)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return printJSON(ans)
+	return printJSON(cmd, ans)
 }
--- a/internal/verb/version.go
+++ b/internal/verb/version.go
@@ -18,11 +18,11 @@
 	}
 }
 
-func printVersion(context.Context, *cli.Command) error {
+func printVersion(_ context.Context, cmd *cli.Command) error {
 	version := "unknown"
 	if inf, ok := debug.ReadBuildInfo(); ok {
 		version = inf.Main.Version
 	}
-	fmt.Println("cumintally " + version)
+	fmt.Fprintln(cmd.Root().Writer, "cumintally "+version)
 	return nil
 }
--- a/internal/verb/zone.go
+++ b/internal/verb/zone.go
@@ -74,5 +74,5 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return printJSON(ans)
+	return printJSON(cmd, ans)
 }
--- /dev/null
+++ b/pkg/document/compare.go
@@ -0,0 +1,49 @@
+package document
+
+import "sort"
+
+// Change says how a part differs between two documents.
+type Change string
+
+// Changes of a part.
+const (
+	Added   Change = "added"
+	Removed Change = "removed"
+	Changed Change = "changed"
+)
+
+// Difference is one part that differs.
+type Difference struct {
+	Name   string
+	Change Change
+}
+
+// Compare returns the parts that differ from old to new, ordered by name.
+func Compare(old, next []Part) []Difference {
+	digests := map[string]string{}
+	for _, prt := range old {
+		digests[prt.Name] = prt.Digest
+	}
+	var difs []Difference
+	add := func(name string, chg Change) {
+		difs = append(difs, Difference{
+			Name:   name,
+			Change: chg,
+		})
+	}
+	for _, prt := range next {
+		before, ok := digests[prt.Name]
+		delete(digests, prt.Name)
+		switch {
+		case !ok:
+			add(prt.Name, Added)
+		case before != prt.Digest:
+			add(prt.Name, Changed)
+		}
+	}
+	for name := range digests {
+		add(name, Removed)
+	}
+	sort.Slice(difs, func(fst, snd int) bool { return difs[fst].Name < difs[snd].Name })
+	return difs
+}
