Prove that an accepted generation is in force in time and never reverts

Separate processes: 8 daemons, a burst of 20 changes, four operators at once, lost answers, and a restart and a pause while the platform is out.

--- /dev/null
+++ b/test/config/config_test.go
@@ -0,0 +1,255 @@
+package config_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cumintally/cumintally/internal/operator"
+	"github.com/cumintally/cumintally/internal/standin/fleet"
+	standin "github.com/cumintally/cumintally/internal/standin/platform"
+)
+
+// target is the time in which an accepted generation must be in force everywhere.
+const target = 5 * time.Second
+
+var (
+	daemons = flag.Int("daemons", 8, "number of daemons")
+	changes = flag.Int("changes", 20, "number of changes in a burst")
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	bin, err := fleet.Build()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(bin)
+	os.Exit(code)
+}
+
+func start(t *testing.T) (context.Context, *fleet.Fleet) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	bin, err := fleet.Build()
+	qt.Assert(t, err, qt.IsNil)
+	flt, err := fleet.Start(ctx, fleet.Config{
+		Binaries: bin,
+		Folder:   t.TempDir(),
+		Zones:    []string{"zone-1", "zone-2", "zone-3"},
+		EntryVMs: *daemons,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(flt.Kill)
+	return ctx, flt
+}
+
+// newDocument returns a document of many parts, one of which depends on num.
+func newDocument(num int) []byte {
+	var bld strings.Builder
+	bld.WriteString("AvailabilityZones:\n")
+	for idx := range 3 {
+		fmt.Fprintf(&bld, "  - {Name: zone-%d, Region: region-1}\n", idx+1)
+	}
+	bld.WriteString("Workspaces:\n")
+	for idx := range 50 {
+		share := 1
+		if idx == num%50 {
+			share = 2 + num/50
+		}
+		fmt.Fprintf(&bld, "  - {Name: workspace-%d, KeyHashes: [\"%064x\"], Share: %d}\n", idx, idx+1, share)
+	}
+	return []byte(bld.String())
+}
+
+// generations returns the generation in force at each daemon, 0 if it does not answer.
+func generations(ctx context.Context, flt *fleet.Fleet) []uint64 {
+	gens := make([]uint64, len(flt.Entries))
+	var wgr sync.WaitGroup
+	for idx, ent := range flt.Entries {
+		wgr.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			if sta, err := fleet.Status(ctx, ent); err == nil {
+				gens[idx] = sta.Generation
+			}
+		})
+	}
+	wgr.Wait()
+	return gens
+}
+
+// waitInForce waits until every daemon has a generation in force and returns the time that took.
+func waitInForce(ctx context.Context, t *testing.T, flt *fleet.Fleet, gen uint64) time.Duration {
+	t.Helper()
+	begin := time.Now()
+	for {
+		lowest := gen
+		gens := generations(ctx, flt)
+		for _, has := range gens {
+			lowest = min(lowest, has)
+		}
+		if lowest >= gen {
+			return time.Since(begin)
+		}
+		if time.Since(begin) > 2*target {
+			t.Fatalf("generation %d is not in force after %v: %v", gen, time.Since(begin), gens)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// watcher checks all through a test that no daemon goes back to a lower generation.
+type watcher struct {
+	stop    chan struct{}
+	done    chan struct{}
+	samples int
+	reverts []string
+}
+
+func watch(ctx context.Context, flt *fleet.Fleet) *watcher {
+	wat := &watcher{
+		stop: make(chan struct{}),
+		done: make(chan struct{}),
+	}
+	highest := map[string]uint64{}
+	go func() {
+		defer close(wat.done)
+		for {
+			select {
+			case <-wat.stop:
+				return
+			default:
+			}
+			for idx, gen := range generations(ctx, flt) {
+				name := flt.Entries[idx].Name
+				if gen == 0 {
+					continue
+				}
+				wat.samples++
+				if gen < highest[name] {
+					wat.reverts = append(wat.reverts, fmt.Sprintf("%s from %d to %d", name, highest[name], gen))
+				}
+				highest[name] = max(highest[name], gen)
+			}
+		}
+	}()
+	return wat
+}
+
+// end stops watching and fails the test if a daemon went back.
+func (wat *watcher) end(t *testing.T) {
+	t.Helper()
+	close(wat.stop)
+	<-wat.done
+	t.Logf("never reverts: %d samples, %d violations", wat.samples, len(wat.reverts))
+	qt.Assert(t, wat.reverts, qt.HasLen, 0)
+}
+
+// TestBurst guards against a burst of changes that is not in force everywhere in time, and against a
+// daemon that goes back to a lower generation meanwhile.
+func TestBurst(t *testing.T) {
+	c := qt.New(t)
+	ctx, flt := start(t)
+	wat := watch(ctx, flt)
+	var last uint64
+	for num := range *changes {
+		hed, err := fleet.Promote(ctx, flt.Entries[num%len(flt.Entries)], newDocument(num), last)
+		c.Assert(err, qt.IsNil)
+		last = hed.Generation
+	}
+	took := waitInForce(ctx, t, flt, last)
+	t.Logf("in force everywhere: %d daemons, %d changes in a burst, %v after the last was accepted", len(flt.Entries), *changes, took)
+	c.Assert(took < target, qt.IsTrue)
+	wat.end(t)
+}
+
+// TestRacingOperators guards against two operators who both get their promotion accepted in place of
+// the same generation.
+func TestRacingOperators(t *testing.T) {
+	c := qt.New(t)
+	ctx, flt := start(t)
+	won := make([]int, 10)
+	for round := range won {
+		var wgr sync.WaitGroup
+		var mu sync.Mutex
+		for oper := range 4 {
+			wgr.Go(func() {
+				_, err := fleet.Promote(ctx, flt.Entries[oper], newDocument(10*round+oper), uint64(round))
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					won[round]++
+				} else if !strings.Contains(err.Error(), "409") {
+					t.Errorf("not a conflict: %v", err)
+				}
+			})
+		}
+		wgr.Wait()
+	}
+	for round, num := range won {
+		c.Assert(num, qt.Equals, 1, qt.Commentf("round %d", round))
+	}
+	t.Logf("one promotion accepted of 4 at once: %d cases, 0 violations", len(won))
+}
+
+// TestLostAnswers guards against a generation whose acceptance is told wrongly when the platform loses
+// the answer to a write that took effect.
+func TestLostAnswers(t *testing.T) {
+	c := qt.New(t)
+	ctx, flt := start(t)
+	for num := range 10 {
+		trl := newDocument(num)
+		c.Assert(flt.SetFaults(ctx, flt.Platform, standin.Faults{LoseAnswers: int64(1 + num%3)}), qt.IsNil)
+		hed, err := fleet.Promote(ctx, flt.Entries[num%len(flt.Entries)], trl, uint64(num))
+		c.Assert(flt.SetFaults(ctx, flt.Platform, standin.Faults{}), qt.IsNil)
+		if err != nil {
+			// The trial's own writes were lost; the promotion was not reached and is made now.
+			hed, err = fleet.Promote(ctx, flt.Entries[0], trl, uint64(num))
+		}
+		c.Assert(err, qt.IsNil)
+		c.Assert(hed.Generation, qt.Equals, uint64(num+1))
+	}
+	took := waitInForce(ctx, t, flt, 10)
+	c.Assert(took < target, qt.IsTrue)
+}
+
+// TestRestartDuringOutage guards against a restarted or paused daemon that serves a lower generation
+// than its zone knows, while the platform is out.
+func TestRestartDuringOutage(t *testing.T) {
+	c := qt.New(t)
+	ctx, flt := start(t)
+	_, err := fleet.Promote(ctx, flt.Entries[0], newDocument(1), 0)
+	c.Assert(err, qt.IsNil)
+	waitInForce(ctx, t, flt, 1)
+	paused := flt.Entries[1]
+	c.Assert(paused.Signal(syscall.SIGSTOP), qt.IsNil)
+	_, err = fleet.Promote(ctx, flt.Entries[0], newDocument(2), 1)
+	c.Assert(err, qt.IsNil)
+	time.Sleep(time.Second)
+	c.Assert(flt.SetFaults(ctx, flt.Platform, standin.Faults{Out: true}), qt.IsNil)
+	restarted := flt.Entries[3]
+	c.Assert(restarted.Kill(), qt.IsNil)
+	c.Assert(restarted.Restart(), qt.IsNil)
+	c.Assert(paused.Signal(syscall.SIGCONT), qt.IsNil)
+	wat := watch(ctx, flt)
+	took := waitInForce(ctx, t, flt, 2)
+	wat.end(t)
+	t.Logf("restarted and paused daemons have the highest generation %v after, the platform being out", took)
+	c.Assert(took < target, qt.IsTrue)
+	var sta operator.ConfigStatus
+	c.Assert(fleet.Operate(ctx, restarted, http.MethodGet, "/config/status", nil, &sta), qt.IsNil)
+	c.Assert(sta.PlatformError, qt.Not(qt.Equals), "")
+}
