Keep the zone's membership by probing in turn

Each daemon pinged every peer twice a second and sent its whole list along, which grows with the square of the zone. Now a daemon pings one to three peers a period, asks others before it suspects one, and sends news along (SWIM).

A unary reply now takes one frame in place of two.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -35,12 +35,12 @@
 
 // Frame is the unit of exchange. A call and its replies share ID; More says that a reply is not the last.
 type Frame struct {
-	Kind  string
-	ID    uint64
-	Reply bool
-	More  bool
-	Error string
-	Body  cbor.RawMessage
+	Kind  string          `cbor:",omitempty"`
+	ID    uint64          `cbor:",omitempty"`
+	Reply bool            `cbor:",omitempty"`
+	More  bool            `cbor:",omitempty"`
+	Error string          `cbor:",omitempty"`
+	Body  cbor.RawMessage `cbor:",omitempty"`
 }
 
 type hello struct {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -174,14 +174,16 @@
 			if frm.Error != "" {
 				return errors.Annotate(ErrRemote, frm.Error)
 			}
-			// The last frame has no body; an empty body arrives as a CBOR null, which would decode to zero.
+			// The last reply of a streamed call has no body.
+			if len(frm.Body) > 0 {
+				if err := take(frm.Body); err != nil {
+					lnk.cancelRemote(idn)
+					return errors.Trace(err)
+				}
+			}
 			if !frm.More {
 				return nil
 			}
-			if err := take(frm.Body); err != nil {
-				lnk.cancelRemote(idn)
-				return errors.Trace(err)
-			}
 		case <-ctx.Done():
 			lnk.cancelRemote(idn)
 			return errors.Annotate(ErrBroken, ctx.Err().Error())
@@ -258,14 +260,14 @@
 
 func (lnk *link) run(ctx context.Context, frm Frame) {
 	last := Frame{
-		Kind:  frm.Kind,
 		ID:    frm.ID,
 		Reply: true,
 	}
-	hnd := lnk.msh.handler(frm.Kind)
-	if hnd == nil {
-		last.Error = "unknown kind " + frm.Kind
-	} else if err := hnd(ctx, lnk.other, frm.Body, func(val any) error { return lnk.reply(ctx, frm, val) }); err != nil {
+	val, err := lnk.msh.handle(ctx, lnk.other, frm, func(val any) error { return lnk.reply(ctx, frm, val) })
+	if err == nil {
+		last.Body, err = encode(val)
+	}
+	if err != nil {
 		last.Error = err.Error()
 	}
 	if frm.ID != 0 {
@@ -282,7 +284,6 @@
 		return errors.Trace(err)
 	}
 	return lnk.write(ctx, Frame{
-		Kind:  frm.Kind,
 		ID:    frm.ID,
 		Reply: true,
 		More:  true,
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -35,7 +35,8 @@
 	received metrics.Counter
 
 	mu       sync.Mutex
-	handlers map[string]StreamHandler
+	handlers map[string]Handler
+	streams  map[string]StreamHandler
 	outgoing map[string]*link
 	links    map[*link]struct{}
 	closed   bool
@@ -51,7 +52,8 @@
 		htc:      &http.Client{},
 		sent:     metrics.GetOrRegisterCounter("PeerBytesSent", reg),
 		received: metrics.GetOrRegisterCounter("PeerBytesReceived", reg),
-		handlers: map[string]StreamHandler{},
+		handlers: map[string]Handler{},
+		streams:  map[string]StreamHandler{},
 		outgoing: map[string]*link{},
 		links:    map[*link]struct{}{},
 	}
@@ -64,20 +66,16 @@
 
 // Handle sets the handler for calls of a kind; it must be set before the mesh serves.
 func (msh *Mesh) Handle(kind string, hnd Handler) {
-	msh.HandleStream(kind, func(ctx context.Context, from Identity, body []byte, send func(any) error) error {
-		val, err := hnd(ctx, from, body)
-		if err != nil {
-			return err
-		}
-		return send(val)
-	})
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	msh.handlers[kind] = hnd
 }
 
 // HandleStream sets the handler for streamed calls of a kind.
 func (msh *Mesh) HandleStream(kind string, hnd StreamHandler) {
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
-	msh.handlers[kind] = hnd
+	msh.streams[kind] = hnd
 }
 
 // Call sends a call to the daemon at adr and decodes its reply into reply unless that is nil.
@@ -227,8 +225,18 @@
 	}
 }
 
-func (msh *Mesh) handler(kind string) StreamHandler {
+// handle answers a call: the last reply carries the body of a unary call, so that it takes one frame.
+func (msh *Mesh) handle(ctx context.Context, from Identity, frm Frame, send func(any) error) (any, error) {
 	msh.mu.Lock()
-	defer msh.mu.Unlock()
-	return msh.handlers[kind]
+	hnd := msh.handlers[frm.Kind]
+	shd := msh.streams[frm.Kind]
+	msh.mu.Unlock()
+	switch {
+	case hnd != nil:
+		return hnd(ctx, from, frm.Body)
+	case shd != nil:
+		return nil, shd(ctx, from, frm.Body, send)
+	default:
+		return nil, errors.Annotatef(ErrRejected, "unknown kind %s", frm.Kind)
+	}
 }
--- a/internal/zone/membership.go
+++ b/internal/zone/membership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/bits"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -14,14 +16,21 @@
 )
 
 const (
-	// kindPing is the kind of the call by which daemons find each other and show that they live.
-	kindPing = "Ping"
-	// pingInterval is the time between two pings of a peer.
-	pingInterval = 500 * time.Millisecond
-	// aliveFor is the time for which a peer that answered counts as alive: three pings and a margin.
-	aliveFor = 1800 * time.Millisecond
-	// knownFor is the time for which a silent peer still counts as known.
+	// period is the time between two rounds of pings.
+	period = 500 * time.Millisecond
+	// pingTimeout bounds a ping; a direct and an indirect one fit into two periods.
+	pingTimeout = 350 * time.Millisecond
+	// suspicionTime is how long a suspected member may take to refute: two periods and a margin.
+	suspicionTime = 1200 * time.Millisecond
+	// knownFor is the time for which a dead member still counts as known.
 	knownFor = 10 * time.Minute
+	// retryInterval is the time between two pings of addresses that are not alive, so that the two sides
+	// of a partition find each other again.
+	retryInterval = 2 * time.Second
+	// maxUpdates is the number of updates that travel with one ping.
+	maxUpdates = 6
+	// helpers is the number of members asked to ping a member that does not answer.
+	helpers = 2
 )
 
 // Membership is one daemon's view of the daemons of its availability zone.
@@ -31,33 +40,29 @@
 	log   *zap.Logger
 	seeds func() []string
 
-	mu      sync.RWMutex
-	leaving bool
-	members map[string]member
-}
-
-type member struct {
-	identity  peer.Identity
-	leaving   bool
-	lastHeard time.Time
-}
-
-type ping struct {
-	Identity peer.Identity
-	Leaving  bool
-	Members  []peer.Identity
+	mu          sync.RWMutex
+	incarnation uint64
+	leaving     bool
+	members     map[string]member
+	rumors      map[string]*rumor
+	order       []string
+	retried     time.Time
 }
 
 // New returns a membership that finds its first peers at the addresses that seeds returns.
 func New(msh *peer.Mesh, seeds func() []string, clk clockwork.Clock, log *zap.Logger) *Membership {
 	mbs := &Membership{
-		msh:     msh,
-		clk:     clk,
-		log:     log.Named("zone"),
-		seeds:   seeds,
-		members: map[string]member{},
+		msh:   msh,
+		clk:   clk,
+		log:   log.Named("zone"),
+		seeds: seeds,
+		// A daemon that starts again under its name must override what was said of it before.
+		incarnation: uint64(clk.Now().UnixNano()),
+		members:     map[string]member{},
+		rumors:      map[string]*rumor{},
 	}
-	msh.Handle(kindPing, mbs.answer)
+	msh.Handle(kindPing, mbs.answerPing)
+	msh.Handle(kindPingFor, mbs.answerPingFor)
 	return mbs
 }
 
@@ -69,12 +74,16 @@
 // Run pings the peers until ctx ends.
 func (mbs *Membership) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, adr := range mbs.targets() {
-			go mbs.ping(ctx, adr)
+		mbs.bury()
+		for _, mem := range mbs.targets() {
+			go mbs.check(ctx, mem)
+		}
+		for _, adr := range mbs.strangers() {
+			go func() { _ = mbs.ping(ctx, adr) }()
 		}
 		select {
 		case <-ctx.Done():
-		case <-mbs.clk.After(pingInterval):
+		case <-mbs.clk.After(period):
 		}
 	}
 }
@@ -84,22 +93,23 @@
 	mbs.mu.Lock()
 	mbs.leaving = true
 	mbs.mu.Unlock()
-	for _, adr := range mbs.targets() {
-		mbs.ping(ctx, adr)
+	var wgr sync.WaitGroup
+	for _, ide := range mbs.Alive() {
+		wgr.Go(func() { _ = mbs.ping(ctx, ide.Address) })
 	}
+	wgr.Wait()
 }
 
 // Alive returns the daemons of the zone that are alive and not leaving, this one included, by name.
 func (mbs *Membership) Alive() []peer.Identity {
 	mbs.mu.RLock()
 	defer mbs.mu.RUnlock()
-	now := mbs.clk.Now()
-	var ids []peer.Identity
+	ids := make([]peer.Identity, 0, len(mbs.members)+1)
 	if !mbs.leaving {
 		ids = append(ids, mbs.msh.Self())
 	}
 	for _, mem := range mbs.members {
-		if !mem.leaving && now.Sub(mem.lastHeard) <= aliveFor {
+		if mem.status <= statusSuspect {
 			ids = append(ids, mem.identity)
 		}
 	}
@@ -107,11 +117,18 @@
 	return ids
 }
 
-// Known returns the number of daemons of the zone that were heard of lately, this one included.
+// Known returns the number of daemons of the zone that were heard of lately, this one included. Those
+// that left on purpose do not count.
 func (mbs *Membership) Known() int {
 	mbs.mu.RLock()
 	defer mbs.mu.RUnlock()
-	return len(mbs.members) + 1
+	num := 1
+	for _, mem := range mbs.members {
+		if mem.status != statusLeaving {
+			num++
+		}
+	}
+	return num
 }
 
 // Owner returns the daemon that owns a key by rendezvous hashing over the daemons alive.
@@ -127,82 +144,176 @@
 	return best
 }
 
-func (mbs *Membership) targets() []string {
-	self := mbs.msh.Self()
-	adrs := map[string]bool{}
-	for _, adr := range mbs.seeds() {
-		adrs[adr] = true
-	}
+// targets returns the members to ping in this round: each in turn, in an order that is shuffled anew
+// after each pass, which bounds the time until a member is pinged.
+func (mbs *Membership) targets() []member {
 	mbs.mu.Lock()
-	now := mbs.clk.Now()
-	for name, mem := range mbs.members {
-		if now.Sub(mem.lastHeard) > knownFor {
-			delete(mbs.members, name)
-			continue
+	defer mbs.mu.Unlock()
+	var mems []member
+	for range perRound(len(mbs.members) + 1) {
+		if len(mbs.order) == 0 {
+			for name, mem := range mbs.members {
+				if mem.status <= statusLeaving {
+					mbs.order = append(mbs.order, name)
+				}
+			}
+			rand.Shuffle(len(mbs.order), func(fst, snd int) { mbs.order[fst], mbs.order[snd] = mbs.order[snd], mbs.order[fst] })
 		}
-		adrs[mem.identity.Address] = true
-	}
-	mbs.mu.Unlock()
-	delete(adrs, self.Address)
-	list := make([]string, 0, len(adrs))
-	for adr := range adrs {
-		list = append(list, adr)
+		if len(mbs.order) == 0 {
+			break
+		}
+		if mem, ok := mbs.members[mbs.order[0]]; ok {
+			mems = append(mems, mem)
+		}
+		mbs.order = mbs.order[1:]
 	}
-	return list
+	return mems
 }
 
-func (mbs *Membership) ping(ctx context.Context, adr string) {
-	ctx, cancel := context.WithTimeout(ctx, pingInterval)
-	defer cancel()
-	var ans ping
-	if err := mbs.msh.Call(ctx, adr, kindPing, mbs.own(), &ans); err != nil {
-		return
+// perRound is the number of pings a round: small zones notice a loss at once, large ones keep to their
+// budget of bytes.
+func perRound(daemons int) int {
+	switch {
+	case daemons <= 4:
+		return daemons - 1
+	case daemons <= 16:
+		return 2
+	default:
+		return 1
 	}
-	mbs.hear(ans)
 }
 
-func (mbs *Membership) own() ping {
-	mbs.mu.RLock()
-	defer mbs.mu.RUnlock()
-	png := ping{
-		Identity: mbs.msh.Self(),
-		Leaving:  mbs.leaving,
+// strangers returns addresses of daemons that are not known to be alive, now and then.
+func (mbs *Membership) strangers() []string {
+	known := mbs.seeds()
+	mbs.mu.Lock()
+	defer mbs.mu.Unlock()
+	now := mbs.clk.Now()
+	if now.Sub(mbs.retried) < retryInterval && len(mbs.members) > 0 {
+		return nil
+	}
+	mbs.retried = now
+	alive := map[string]bool{
+		mbs.msh.Self().Address: true,
 	}
 	for _, mem := range mbs.members {
-		png.Members = append(png.Members, mem.identity)
+		if mem.status <= statusLeaving {
+			alive[mem.identity.Address] = true
+		}
+		known = append(known, mem.identity.Address)
 	}
-	return png
+	var adrs []string
+	for _, adr := range known {
+		if !alive[adr] {
+			alive[adr] = true
+			adrs = append(adrs, adr)
+		}
+	}
+	rand.Shuffle(len(adrs), func(fst, snd int) { adrs[fst], adrs[snd] = adrs[snd], adrs[fst] })
+	return adrs[:min(len(adrs), 3)]
 }
 
-func (mbs *Membership) answer(_ context.Context, _ peer.Identity, body []byte) (any, error) {
-	var png ping
-	if err := peer.Decode(body, &png); err != nil {
-		return nil, err
+// check pings a member, and asks others to ping it, before it suspects it.
+func (mbs *Membership) check(ctx context.Context, mem member) {
+	if mbs.ping(ctx, mem.identity.Address) == nil || mbs.pingThroughOthers(ctx, mem) || ctx.Err() != nil {
+		return
 	}
-	mbs.hear(png)
-	return mbs.own(), nil
+	mbs.mu.Lock()
+	defer mbs.mu.Unlock()
+	mbs.learn(update{
+		Identity:    mem.identity,
+		Incarnation: mem.incarnation,
+		Status:      statusSuspect,
+	})
 }
 
-func (mbs *Membership) hear(png ping) {
-	self := mbs.msh.Self()
+// bury declares members dead that did not refute a suspicion in time, and forgets those long dead.
+func (mbs *Membership) bury() {
 	mbs.mu.Lock()
 	defer mbs.mu.Unlock()
 	now := mbs.clk.Now()
-	if png.Identity.AvailabilityZone == self.AvailabilityZone && png.Identity.Name != self.Name {
-		mbs.members[png.Identity.Name] = member{
-			identity:  png.Identity,
-			leaving:   png.Leaving,
-			lastHeard: now,
+	for name, mem := range mbs.members {
+		age := now.Sub(mem.since)
+		switch {
+		case mem.status == statusSuspect && age > suspicionTime:
+			mbs.learn(update{
+				Identity:    mem.identity,
+				Incarnation: mem.incarnation,
+				Status:      statusDead,
+			})
+		case mem.status >= statusLeaving && age > knownFor:
+			delete(mbs.members, name)
 		}
 	}
-	for _, ide := range png.Members {
-		if _, ok := mbs.members[ide.Name]; ok || ide.Name == self.Name || ide.AvailabilityZone != self.AvailabilityZone {
-			continue
-		}
-		// A peer heard of by others is pinged, but counts as alive only once it has answered.
-		mbs.members[ide.Name] = member{
-			identity:  ide,
-			lastHeard: now.Add(-aliveFor - time.Millisecond),
+}
+
+// learn takes an update and passes it on if it is news; the lock is held.
+func (mbs *Membership) learn(upd update) {
+	self := mbs.msh.Self()
+	if upd.Identity.AvailabilityZone != self.AvailabilityZone {
+		return
+	}
+	if upd.Identity.Name == self.Name {
+		mbs.refute(upd)
+		return
+	}
+	mem, ok := mbs.members[upd.Identity.Name]
+	if ok && !upd.overrides(mem) {
+		return
+	}
+	if !ok || mem.status != upd.Status {
+		mbs.log.Debug("a daemon changed", zap.String("daemon", upd.Identity.Name), zap.Uint8("status", uint8(upd.Status)))
+	}
+	mbs.members[upd.Identity.Name] = member{
+		identity:    upd.Identity,
+		incarnation: upd.Incarnation,
+		status:      upd.Status,
+		since:       mbs.clk.Now(),
+	}
+	mbs.rumors[upd.Identity.Name] = &rumor{
+		update: upd,
+	}
+}
+
+// refute answers news of this daemon that says less of it than that it is alive.
+func (mbs *Membership) refute(upd update) {
+	if upd.Status == statusAlive || upd.Incarnation < mbs.incarnation {
+		return
+	}
+	mbs.incarnation = upd.Incarnation + 1
+	mbs.rumors[upd.Identity.Name] = &rumor{
+		update: mbs.own(),
+	}
+}
+
+// own returns what this daemon says of itself; the lock is held.
+func (mbs *Membership) own() update {
+	upd := update{
+		Identity:    mbs.msh.Self(),
+		Incarnation: mbs.incarnation,
+	}
+	if mbs.leaving {
+		upd.Status = statusLeaving
+	}
+	return upd
+}
+
+// news returns the updates that were passed on least often; each is dropped once it has been sent often
+// enough to reach every daemon. The lock is held.
+func (mbs *Membership) news() []update {
+	rums := make([]*rumor, 0, len(mbs.rumors))
+	for _, rum := range mbs.rumors {
+		rums = append(rums, rum)
+	}
+	sort.Slice(rums, func(fst, snd int) bool { return rums[fst].sent < rums[snd].sent })
+	limit := 3 * bits.Len(uint(len(mbs.members)+1))
+	var upds []update
+	for _, rum := range rums[:min(maxUpdates, len(rums))] {
+		upds = append(upds, rum.update)
+		rum.sent++
+		if rum.sent >= limit {
+			delete(mbs.rumors, rum.update.Identity.Name)
 		}
 	}
+	return upds
 }
