Send other daemons one age for unchanged reports, through relays in a large zone

A daemon that asks for evidence again gets what changed and one age for everything else, in place of every report. Above 8 daemons they form cells of about the square root of their number, and one relay of each cell asks for the others.

--- a/Makefile
+++ b/Makefile
@@ -23,10 +23,13 @@
 
 lint: $(BIN)/golangci-lint
 	$(BIN)/golangci-lint fmt --diff
-	$(BIN)/golangci-lint run ./...
+	$(BIN)/golangci-lint run --allow-parallel-runners ./...
 
 $(BIN)/golangci-lint: tools/go.mod
 	$(GO) build -C tools -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
 
 spec:
 	spec/check.sh
+
+bench-capacity: build
+	$(BIN)/cumintally-standin capacity --binaries $(BIN)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -35,12 +35,23 @@
 
 // Frame is the unit of exchange. A call and its replies share ID; More says that a reply is not the last.
 type Frame struct {
-	Kind  string          `cbor:",omitempty"`
-	ID    uint64          `cbor:",omitempty"`
-	Reply bool            `cbor:",omitempty"`
-	More  bool            `cbor:",omitempty"`
-	Error string          `cbor:",omitempty"`
-	Body  cbor.RawMessage `cbor:",omitempty"`
+	// A frame goes without the names of its fields, which would be most of a small one.
+	_ struct{} `cbor:",toarray"`
+
+	Kind  string
+	ID    uint64
+	Reply bool
+	More  bool
+	Error string
+	Body  cbor.RawMessage
+}
+
+// cborNull is what an empty body is encoded as.
+const cborNull = 0xf6
+
+// empty reports whether the frame has no body.
+func (frm Frame) empty() bool {
+	return len(frm.Body) == 0 || (len(frm.Body) == 1 && frm.Body[0] == cborNull)
 }
 
 type hello struct {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -175,7 +175,7 @@
 				return errors.Annotate(ErrRemote, frm.Error)
 			}
 			// The last reply of a streamed call has no body.
-			if len(frm.Body) > 0 {
+			if !frm.empty() {
 				if err := take(frm.Body); err != nil {
 					lnk.cancelRemote(idn)
 					return errors.Trace(err)
--- a/internal/probe/prober.go
+++ b/internal/probe/prober.go
@@ -39,16 +39,13 @@
 
 	slots chan struct{}
 
+	feeds map[string]*feed
+
 	mu      sync.Mutex
-	own     map[string]evidence.Entry
+	subs    map[string]*subscription
 	probing map[string]bool
 }
 
-type agedReport struct {
-	Report backend.Report
-	Age    time.Duration
-}
-
 // New returns a prober of the engines that vms returns; report asks one of them.
 func New(
 	interval time.Duration,
@@ -70,8 +67,13 @@
 		report:   report,
 		vms:      vms,
 		slots:    make(chan struct{}, maxProbes),
-		own:      map[string]evidence.Entry{},
-		probing:  map[string]bool{},
+		feeds: map[string]*feed{
+			feedOwn:  newFeed(),
+			feedCell: newFeed(),
+			feedZone: newFeed(),
+		},
+		subs:    map[string]*subscription{},
+		probing: map[string]bool{},
 	}
 	msh.Handle(kindEvidence, prb.answer)
 	return prb
@@ -79,18 +81,20 @@
 
 // Run probes and pulls until ctx ends.
 func (prb *Prober) Run(ctx context.Context) {
+	var wgr sync.WaitGroup
+	wgr.Go(func() { prb.repeat(ctx, prb.probeAll, func(int) time.Duration { return prb.interval }) })
+	wgr.Go(func() { prb.repeat(ctx, prb.pullAll, prb.pullInterval) })
+	wgr.Wait()
+}
+
+// repeat calls turn with the daemons alive until ctx ends.
+func (prb *Prober) repeat(ctx context.Context, turn func(context.Context, []peer.Identity), interval func(daemons int) time.Duration) {
 	for ctx.Err() == nil {
-		self := prb.msh.Self()
 		alive := prb.mbs.Alive()
-		prb.probeAll(ctx, alive)
-		for _, ide := range alive {
-			if ide.Name != self.Name {
-				go prb.pull(ctx, ide.Address)
-			}
-		}
+		turn(ctx, alive)
 		select {
 		case <-ctx.Done():
-		case <-prb.clk.After(prb.interval):
+		case <-prb.clk.After(interval(len(alive))):
 		}
 	}
 }
@@ -166,45 +170,8 @@
 		Report: rep,
 		AsOf:   asOf,
 	}
-	prb.mu.Lock()
-	prb.own[vmc.Name] = ent
-	prb.mu.Unlock()
-	prb.tab.Record(ent)
-}
-
-// pull takes the reports that the daemon at adr has probed.
-func (prb *Prober) pull(ctx context.Context, adr string) {
-	ctx, cancel := context.WithTimeout(ctx, 2*prb.interval)
-	defer cancel()
-	before := prb.clk.Now()
-	var reps []agedReport
-	if err := prb.msh.Call(ctx, adr, kindEvidence, nil, &reps); err != nil {
-		return
-	}
-	for _, rep := range reps {
-		prb.tab.Record(evidence.Entry{
-			Report: rep.Report,
-			AsOf:   before.Add(-rep.Age),
-		})
+	for _, fed := range prb.feeds {
+		fed.put(ent)
 	}
-}
-
-// answer gives what this daemon has probed itself; what it pulled is left to the daemons that probed it.
-func (prb *Prober) answer(context.Context, peer.Identity, []byte) (any, error) {
-	prb.mu.Lock()
-	defer prb.mu.Unlock()
-	now := prb.clk.Now()
-	reps := make([]agedReport, 0, len(prb.own))
-	for name, ent := range prb.own {
-		age := now.Sub(ent.AsOf)
-		if age > 5*time.Second {
-			delete(prb.own, name)
-			continue
-		}
-		reps = append(reps, agedReport{
-			Report: ent.Report,
-			Age:    age,
-		})
-	}
-	return reps, nil
+	prb.tab.Record(ent)
 }
--- /dev/null
+++ b/internal/standin/fleet/usage.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// clockTick is the unit of processor times in /proc, which is the same on every Linux that Go runs on.
+const clockTick = 10 * time.Millisecond
+
+// Usage is what a process has used so far.
+type Usage struct {
+	Processor time.Duration
+	// Resident is the memory in use in bytes.
+	Resident int64
+}
+
+// Usage reads what the process has used from /proc.
+func (prc *Process) Usage() (Usage, error) {
+	prc.mu.Lock()
+	pid := prc.cmd.Process.Pid
+	prc.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return Usage{}, errors.Trace(err)
+	}
+	// The fields after the command's name in parentheses begin with the third one.
+	fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))
+	if len(fields) < 22 {
+		return Usage{}, errors.Errorf("/proc/%d/stat has %d fields", pid, len(fields))
+	}
+	user, errUser := strconv.ParseInt(fields[11], 10, 64)
+	system, errSystem := strconv.ParseInt(fields[12], 10, 64)
+	pages, errPages := strconv.ParseInt(fields[21], 10, 64)
+	if errUser != nil || errSystem != nil || errPages != nil {
+		return Usage{}, errors.Errorf("/proc/%d/stat is malformed", pid)
+	}
+	return Usage{
+		Processor: time.Duration(user+system) * clockTick,
+		Resident:  pages * int64(os.Getpagesize()),
+	}, nil
+}
+
+// Metrics returns the daemon's counters and gauges by name.
+func Metrics(ctx context.Context, ent *Entry) (map[string]float64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ent.Operators+"/metrics", nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+OperatorKey)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer res.Body.Close()
+	psr := expfmt.NewTextParser(model.LegacyValidation)
+	fams, err := psr.TextToMetricFamilies(res.Body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	vals := map[string]float64{}
+	for name, fam := range fams {
+		for _, met := range fam.GetMetric() {
+			switch fam.GetType() {
+			case dto.MetricType_COUNTER:
+				vals[name] = met.GetCounter().GetValue()
+			case dto.MetricType_GAUGE:
+				vals[name] = met.GetGauge().GetValue()
+			}
+		}
+	}
+	return vals, nil
+}
