--- a/internal/probe/pull.go
+++ b/internal/probe/pull.go
@@ -83,5 +83,5 @@
 	if !ok {
 		return nil, peer.ErrRejected
 	}
-	return fed.answer(que, prb.clk.Now(), 2*prb.interval), nil
+	return fed.answer(que, prb.clk.Now(), prb.interval*lateAfter[que.Feed]/100), nil
 }
--- a/internal/probe/route.go
+++ b/internal/probe/route.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,6 +24,14 @@
 	feedZone = "Zone"
 )
 
+// lateAfter is the age, in parts of a hundred of the probes' interval, above which a feed lists a report by
+// name. Each step on the way adds up to three quarters of the interval, so that in a steady zone none is.
+var lateAfter = map[string]time.Duration{
+	feedOwn:  150,
+	feedCell: 225,
+	feedZone: 300,
+}
+
 // source is a feed of another daemon to ask, and the feeds of this daemon that its reports go to.
 type source struct {
 	address string
