Add a load generator that checks every answer

It plans all requests from a seed and sends each at its planned time, so that a stalled server cannot hide its own delay. It checks each streamed answer token by token. The stand-in's tokens now carry a hash of the whole prompt: without it, two prompts with the same prefix had the same answer, and an answer to the wrong request would have passed.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -33,6 +33,8 @@
 	IgnoreFencing bool
 	// Retention is how long a finished or abandoned stream can be resumed.
 	Retention time.Duration
+	// Stamp adds the send time to each token, to measure the delay on the way to the caller.
+	Stamp bool
 }
 
 // Faults are the faults that an engine stand-in can show.
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cumintally/cumintally/internal/backend"
 )
 
@@ -72,19 +74,42 @@
 }
 
 // Text returns the tokens that the stand-in generates for a prompt: its words, again and again, each
-// with its number, so that a test can tell a missing, doubled or foreign token.
+// with its number and a hash of the whole prompt, so that a test can tell a missing, repeated or foreign
+// token even when two prompts share a long prefix.
 func Text(prompt string, maxTokens int) []string {
 	words := strings.Fields(prompt)
 	if len(words) == 0 {
 		words = []string{"empty"}
 	}
+	sum := "." + strconv.FormatUint(xxhash.Sum64String(prompt)>>32, 16) + " "
 	toks := make([]string, maxTokens)
 	for idx := range toks {
-		toks[idx] = words[idx%len(words)] + "#" + strconv.Itoa(idx) + " "
+		toks[idx] = words[idx%len(words)] + "#" + strconv.Itoa(idx) + sum
 	}
 	return toks
 }
 
+// stampMark separates a token from the time at which it was sent.
+const stampMark = "@"
+
+// stamp adds the present time to a token; the time goes before the token's final space.
+func stamp(tok string) string {
+	return strings.TrimSuffix(tok, " ") + stampMark + strconv.FormatInt(time.Now().UnixNano(), 10) + " "
+}
+
+// SplitStamp returns a stamped token as Text gives it, and the time at which it was sent.
+func SplitStamp(text string) (string, time.Time) {
+	idx := strings.LastIndex(text, stampMark)
+	if idx < 0 {
+		return text, time.Time{}
+	}
+	nanos, err := strconv.ParseInt(strings.TrimSuffix(text[idx+1:], " "), 10, 64)
+	if err != nil {
+		return text, time.Time{}
+	}
+	return text[:idx] + " ", time.Unix(0, nanos)
+}
+
 // run generates the text of a request; it skips what the caller already has.
 func (eng *Engine) run(idn string, str *stream, srq backend.StreamRequest) {
 	defer eng.finish(idn)
@@ -110,6 +135,9 @@
 			return
 		}
 		frm.Text = toks[idx]
+		if eng.cfg.Stamp {
+			frm.Text = stamp(frm.Text)
+		}
 		str.add(frm)
 		time.Sleep(eng.stretched(eng.cfg.TokenTime))
 	}
--- /dev/null
+++ b/internal/standin/load/config.go
@@ -0,0 +1,117 @@
+package load
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Bounds of one run, so that a wrong flag cannot occupy the machine.
+const (
+	maxRequests = 1_000_000
+	maxDuration = time.Hour
+)
+
+// Workspace is one source of load.
+type Workspace struct {
+	Name string
+	// Key is the bearer key; it is not used when engines are called directly.
+	Key string
+	// Share is the weight of the workspace in the load.
+	Share int
+	// Priority groups the results; an entry VM takes the priority from its document instead.
+	Priority int
+}
+
+// Config describes one run.
+type Config struct {
+	// Targets are the IP:port addresses of entry VMs, or of engines of rank 0 if Direct is set.
+	Targets []string
+	// Direct sends to the engine interface instead of the callers' interface.
+	Direct bool
+	Model  string
+	// Rate is the mean number of requests a second; arrivals are a Poisson process.
+	Rate     float64
+	Duration time.Duration
+	// Count ends the plan after so many requests; 0 leaves the end to Duration.
+	Count int
+	// MinTokens and MaxTokens bound the length of an answer, which is drawn uniformly.
+	MinTokens int
+	MaxTokens int
+	// Prefixes is the number of prompt prefixes that requests share; 0 shares none.
+	Prefixes    int
+	PrefixWords int
+	PromptWords int
+	Workspaces  []Workspace
+	// Deadline is the time within which an answer must be complete to count as answered in time.
+	Deadline time.Duration
+	// Timeout ends a request.
+	Timeout time.Duration
+	// MaxInFlight bounds the open requests; a request over the bound is counted as skipped.
+	MaxInFlight int
+	// Resumes is the number of times that a broken stream is resumed at the next target.
+	Resumes int
+	// Ready polls the targets' /readyz and sends only to those that are ready, as a load balancer does.
+	Ready bool
+	// Stamped reads the send time that an engine started with --stamp puts into each token.
+	Stamped bool
+	Seed    uint64
+}
+
+// withDefaults fills the fields that a caller may leave out.
+func (cfg Config) withDefaults() Config {
+	if len(cfg.Workspaces) == 0 {
+		cfg.Workspaces = []Workspace{{Name: "default", Share: 1}}
+	}
+	for _, fld := range []struct {
+		val      *int
+		fallback int
+	}{
+		{&cfg.MaxTokens, 32},
+		{&cfg.MinTokens, 1},
+		{&cfg.PromptWords, 8},
+		{&cfg.MaxInFlight, 10_000},
+	} {
+		if *fld.val == 0 {
+			*fld.val = fld.fallback
+		}
+	}
+	cfg.MinTokens = min(cfg.MinTokens, cfg.MaxTokens)
+	if cfg.Deadline == 0 {
+		cfg.Deadline = 10 * time.Second
+	}
+	if cfg.Timeout == 0 {
+		cfg.Timeout = max(time.Minute, cfg.Deadline)
+	}
+	if cfg.Duration == 0 {
+		cfg.Duration = maxDuration
+	}
+	return cfg
+}
+
+func (cfg Config) check() error {
+	shares := 0
+	for _, wsp := range cfg.Workspaces {
+		if wsp.Share < 0 {
+			return errors.NotValidf("share %d of workspace %s", wsp.Share, wsp.Name)
+		}
+		shares += wsp.Share
+	}
+	switch {
+	case len(cfg.Targets) == 0:
+		return errors.NotValidf("a run without targets")
+	case shares == 0:
+		return errors.NotValidf("workspaces without shares")
+	case cfg.Rate <= 0:
+		return errors.NotValidf("rate %v", cfg.Rate)
+	case cfg.Count < 0 || cfg.Count > maxRequests:
+		return errors.NotValidf("count %d", cfg.Count)
+	case cfg.Duration < 0 || cfg.Duration > maxDuration:
+		return errors.NotValidf("duration %v", cfg.Duration)
+	case cfg.Count == 0 && cfg.Rate*cfg.Duration.Seconds() > maxRequests:
+		return errors.NotValidf("a plan of more than %d requests", maxRequests)
+	case cfg.MinTokens < 1 || cfg.MaxInFlight < 1 || cfg.PromptWords < 0 || cfg.PrefixWords < 0 || cfg.Prefixes < 0:
+		return errors.NotValidf("a negative number")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/load/load_test.go
@@ -0,0 +1,196 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cumintally/cumintally/internal/backend"
+	"github.com/cumintally/cumintally/internal/standin/engine"
+)
+
+func startEngine(tst *testing.T, wrap func(http.Handler) http.Handler) string {
+	eng := engine.New(engine.Config{
+		VM:        "vm-1",
+		TokenTime: time.Millisecond,
+		WarmAfter: 1,
+		ColdLimit: 100,
+		Retention: time.Second,
+		Stamp:     true,
+	}, func() { tst.Error("the engine crashed") })
+	srv := httptest.NewServer(wrap(eng.Handler()))
+	tst.Cleanup(srv.Close)
+	adr := strings.TrimPrefix(srv.URL, "http://")
+	err := backend.New(srv.Client()).Order(context.Background(), adr, backend.Order{
+		Fencing:  1,
+		Group:    "group-1",
+		Members:  []string{"vm-1"},
+		NotAfter: time.Now().Add(time.Second),
+	})
+	qt.Assert(tst, err, qt.IsNil)
+	return adr
+}
+
+func directConfig(adr string) Config {
+	return Config{
+		Targets:     []string{adr},
+		Direct:      true,
+		Rate:        1000,
+		Count:       50,
+		MaxTokens:   8,
+		Prefixes:    2,
+		PrefixWords: 16,
+		Stamped:     true,
+		Workspaces: []Workspace{
+			{Name: "large", Share: 3, Priority: 1},
+			{Name: "small", Share: 1, Priority: 5},
+		},
+		Seed: 7,
+	}
+}
+
+// TestWholeAnswers guards against a generator that loses requests or miscounts whole answers.
+func TestWholeAnswers(tst *testing.T) {
+	ckr := qt.New(tst)
+	adr := startEngine(tst, func(hnd http.Handler) http.Handler { return hnd })
+	lod, err := New(directConfig(adr))
+	ckr.Assert(err, qt.IsNil)
+	rep, err := lod.Run(context.Background())
+	ckr.Assert(err, qt.IsNil)
+	ckr.Assert(rep.Endings, qt.DeepEquals, map[string]int{endWhole: 50}, qt.Commentf("%v", rep.Details))
+	ckr.Assert(rep.InTimeShare, qt.Equals, 1.0)
+	ckr.Assert(rep.Classes, qt.HasLen, 2)
+	ckr.Assert(rep.Delay.Count, qt.Equals, int64(rep.Tokens))
+	ckr.Assert(rep.Classes[0].FirstToken.Count+rep.Classes[1].FirstToken.Count, qt.Equals, int64(50))
+	var out bytes.Buffer
+	ckr.Assert(rep.WriteText(&out), qt.IsNil)
+	ckr.Assert(out.String(), qt.Contains, "50 sent, 0 skipped, 0 resumed\n")
+	ckr.Assert(rep.WriteJSON(&out), qt.IsNil)
+}
+
+// changed lets a test change the text of an answer on its way.
+type changed struct {
+	http.ResponseWriter
+	change func(string) string
+}
+
+func (chg changed) Write(data []byte) (int, error) {
+	_, err := chg.ResponseWriter.Write([]byte(chg.change(string(data))))
+	return len(data), err
+}
+
+func (chg changed) Unwrap() http.ResponseWriter { return chg.ResponseWriter }
+
+// TestFaultyAnswers guards against a generator that takes an incomplete, repeated or foreign answer for
+// a whole one.
+func TestFaultyAnswers(tst *testing.T) {
+	for _, tcs := range []struct {
+		name   string
+		change func(string) string
+		ending string
+	}{
+		{"missing token", func(txt string) string {
+			if strings.Contains(txt, "#3.") {
+				return ""
+			}
+			return txt
+		}, endWrong},
+		{"repeated token", func(txt string) string {
+			if strings.Contains(txt, "#3.") {
+				return txt + txt
+			}
+			return txt
+		}, endWrong},
+		{"foreign token", func(txt string) string { return strings.Replace(txt, "#3.", "#3.0", 1) }, endWrong},
+		{"not JSON", func(txt string) string {
+			if strings.Contains(txt, "#3.") {
+				return strings.Replace(txt, "{", "", 1)
+			}
+			return txt
+		}, endWrong},
+		{"no final frame", func(txt string) string {
+			if strings.Contains(txt, `"Finish":"length"`) {
+				return ""
+			}
+			return txt
+		}, endBroken},
+	} {
+		tst.Run(tcs.name, func(tst *testing.T) {
+			ckr := qt.New(tst)
+			adr := startEngine(tst, func(hnd http.Handler) http.Handler {
+				return http.HandlerFunc(func(rsw http.ResponseWriter, req *http.Request) {
+					hnd.ServeHTTP(changed{rsw, tcs.change}, req)
+				})
+			})
+			cfg := directConfig(adr)
+			cfg.Count = 5
+			cfg.MinTokens = 8
+			lod, err := New(cfg)
+			ckr.Assert(err, qt.IsNil)
+			rep, err := lod.Run(context.Background())
+			ckr.Assert(err, qt.IsNil)
+			ckr.Assert(rep.Endings, qt.DeepEquals, map[string]int{tcs.ending: 5}, qt.Commentf("%v", rep.Details))
+			ckr.Assert(rep.WastedTokens > 0, qt.IsTrue)
+			ckr.Assert(rep.InTime, qt.Equals, 0)
+		})
+	}
+}
+
+// TestRejections guards against rejections that are counted as sent work or lose their outcome.
+func TestRejections(tst *testing.T) {
+	ckr := qt.New(tst)
+	srv := httptest.NewServer(http.HandlerFunc(func(rsw http.ResponseWriter, _ *http.Request) {
+		rsw.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = rsw.Write([]byte(`{"Outcome":"NotRun","detail":"busy"}`))
+	}))
+	defer srv.Close()
+	cfg := directConfig(strings.TrimPrefix(srv.URL, "http://"))
+	cfg.Direct = false
+	cfg.Count = 5
+	lod, err := New(cfg)
+	ckr.Assert(err, qt.IsNil)
+	rep, err := lod.Run(context.Background())
+	ckr.Assert(err, qt.IsNil)
+	ckr.Assert(rep.Endings, qt.DeepEquals, map[string]int{"503 NotRun": 5})
+	ckr.Assert(rep.Rejection.Count, qt.Equals, int64(5))
+}
+
+// TestPlan guards against a plan that differs between runs of one seed or ignores the shares.
+func TestPlan(tst *testing.T) {
+	ckr := qt.New(tst)
+	cfg := directConfig("127.0.0.1:1").withDefaults()
+	cfg.Count = 4000
+	fst, snd := plan(cfg), plan(cfg)
+	ckr.Assert(fst[3999].prompt, qt.Equals, snd[3999].prompt)
+	ckr.Assert(fst[3999].at, qt.Equals, snd[3999].at)
+	large := 0
+	for _, req := range fst {
+		if req.workspace.Name == "large" {
+			large++
+		}
+	}
+	ckr.Assert(large > 2800 && large < 3200, qt.IsTrue, qt.Commentf("%d", large))
+}
+
+// TestConfig guards against a run without bounds.
+func TestConfig(tst *testing.T) {
+	for name, spoil := range map[string]func(*Config){
+		"no targets":    func(cfg *Config) { cfg.Targets = nil },
+		"no rate":       func(cfg *Config) { cfg.Rate = 0 },
+		"too many":      func(cfg *Config) { cfg.Count = maxRequests + 1 },
+		"too long":      func(cfg *Config) { cfg.Duration = 2 * maxDuration },
+		"unbounded":     func(cfg *Config) { cfg.Count = 0 },
+		"share below 0": func(cfg *Config) { cfg.Workspaces[0].Share = -1 },
+	} {
+		cfg := directConfig("127.0.0.1:1")
+		spoil(&cfg)
+		_, err := New(cfg)
+		qt.Check(tst, err, qt.IsNotNil, qt.Commentf("%s", name))
+	}
+}
--- /dev/null
+++ b/internal/standin/load/report.go
@@ -0,0 +1,177 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/juju/errors"
+)
+
+// Quantiles are the quantiles of one histogram.
+type Quantiles struct {
+	Count int64
+	P50   time.Duration
+	P95   time.Duration
+	P99   time.Duration
+	Max   time.Duration
+}
+
+// Class holds the results of one priority.
+type Class struct {
+	Priority int
+	Sent     int
+	Whole    int
+	// InTime is the number of whole answers within the deadline.
+	InTime        int
+	FirstToken    Quantiles
+	BetweenTokens Quantiles
+}
+
+// Second holds the results of the requests that were due in one second of the run.
+type Second struct {
+	Second        int
+	Sent          int
+	Whole         int
+	InTime        int
+	FirstTokenP95 time.Duration
+}
+
+// Report holds the results of a run.
+type Report struct {
+	Seed     uint64
+	Elapsed  time.Duration
+	Deadline time.Duration
+	Sent     int
+	// Skipped is the number of requests that were not sent because too many were open.
+	Skipped int
+	Whole   int
+	// Wrong is the number of answers with a missing, repeated or foreign token.
+	Wrong  int
+	InTime int
+	// InTimeShare is the share of the planned requests that were answered whole within the deadline.
+	InTimeShare float64
+	// Endings counts the requests by how they ended; a rejection is named by status and outcome.
+	Endings map[string]int
+	// Resumes is the number of times that a broken stream was resumed.
+	Resumes      int
+	Tokens       int
+	TokensPerSec float64
+	// WastedTokens were received in answers that did not complete or completed after the deadline.
+	WastedTokens int
+	// Rejection is the time to the rejection of requests that got no token.
+	Rejection Quantiles
+	// Delay is the time from the engine's send time to the receipt of a token, for engines that stamp tokens.
+	Delay   Quantiles
+	Classes []Class
+	Seconds []Second
+	// Details says what was wrong with some of the answers that were not whole.
+	Details []string
+}
+
+func (tly *tally) report(cfg Config, elapsed time.Duration) *Report {
+	tly.mu.Lock()
+	defer tly.mu.Unlock()
+	rep := &Report{
+		Seed:         cfg.Seed,
+		Elapsed:      elapsed,
+		Deadline:     cfg.Deadline,
+		Sent:         tly.sent,
+		Skipped:      tly.skipped,
+		Whole:        tly.endings[endWhole],
+		Wrong:        tly.endings[endWrong],
+		Endings:      tly.endings,
+		Resumes:      tly.resumes,
+		Tokens:       tly.tokens,
+		TokensPerSec: float64(tly.tokens) / elapsed.Seconds(),
+		WastedTokens: tly.wasted,
+		Rejection:    quantiles(tly.rejected),
+		Delay:        quantiles(tly.delays),
+		Details:      tly.details,
+	}
+	for pri, cls := range tly.classes {
+		rep.InTime += cls.inTime
+		rep.Classes = append(rep.Classes, Class{
+			Priority:      pri,
+			Sent:          cls.sent,
+			Whole:         cls.whole,
+			InTime:        cls.inTime,
+			FirstToken:    quantiles(cls.first),
+			BetweenTokens: quantiles(cls.between),
+		})
+	}
+	sort.Slice(rep.Classes, func(fst, snd int) bool { return rep.Classes[fst].Priority > rep.Classes[snd].Priority })
+	for idx, sec := range tly.seconds {
+		rep.Seconds = append(rep.Seconds, Second{
+			Second:        idx,
+			Sent:          sec.sent,
+			Whole:         sec.whole,
+			InTime:        sec.inTime,
+			FirstTokenP95: quantiles(sec.first).P95,
+		})
+	}
+	sort.Slice(rep.Seconds, func(fst, snd int) bool { return rep.Seconds[fst].Second < rep.Seconds[snd].Second })
+	if all := rep.Sent + rep.Skipped; all > 0 {
+		rep.InTimeShare = float64(rep.InTime) / float64(all)
+	}
+	return rep
+}
+
+func quantiles(hst *hdrhistogram.Histogram) Quantiles {
+	at := func(pct float64) time.Duration {
+		return time.Duration(hst.ValueAtQuantile(pct)) * time.Microsecond
+	}
+	return Quantiles{
+		Count: hst.TotalCount(),
+		P50:   at(50),
+		P95:   at(95),
+		P99:   at(99),
+		Max:   time.Duration(hst.Max()) * time.Microsecond,
+	}
+}
+
+// WriteJSON writes the report as JSON; durations are in nanoseconds.
+func (rep *Report) WriteJSON(out io.Writer) error {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	return errors.Trace(enc.Encode(rep))
+}
+
+// WriteText writes the report as aligned text.
+func (rep *Report) WriteText(out io.Writer) error {
+	tab := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(tab, "seed\t%d\n", rep.Seed)
+	fmt.Fprintf(tab, "elapsed\t%v\n", rep.Elapsed.Round(time.Millisecond))
+	fmt.Fprintf(tab, "requests\t%d sent, %d skipped, %d resumed\n", rep.Sent, rep.Skipped, rep.Resumes)
+	fmt.Fprintf(tab, "whole within %v\t%.2f%%\n", rep.Deadline, 100*rep.InTimeShare)
+	fmt.Fprintf(tab, "tokens\t%d (%.0f/s), %d wasted\n", rep.Tokens, rep.TokensPerSec, rep.WastedTokens)
+	var ends []string
+	for end := range rep.Endings {
+		ends = append(ends, end)
+	}
+	sort.Strings(ends)
+	for _, end := range ends {
+		fmt.Fprintf(tab, "ended %s\t%d\n", end, rep.Endings[end])
+	}
+	writeQuantiles(tab, "time to rejection", rep.Rejection)
+	writeQuantiles(tab, "delay of a token", rep.Delay)
+	for _, cls := range rep.Classes {
+		fmt.Fprintf(tab, "priority %d\t%d sent, %d whole, %d in time\n", cls.Priority, cls.Sent, cls.Whole, cls.InTime)
+		writeQuantiles(tab, "  time to first token", cls.FirstToken)
+		writeQuantiles(tab, "  between tokens", cls.BetweenTokens)
+	}
+	for _, det := range rep.Details {
+		fmt.Fprintf(tab, "not whole\t%s\n", det)
+	}
+	return errors.Trace(tab.Flush())
+}
+
+func writeQuantiles(out io.Writer, name string, qnt Quantiles) {
+	if qnt.Count > 0 {
+		fmt.Fprintf(out, "%s\tp50 %v, p95 %v, p99 %v, max %v\n", name, qnt.P50, qnt.P95, qnt.P99, qnt.Max)
+	}
+}
--- a/internal/standin/verb/engine.go
+++ b/internal/standin/verb/engine.go
@@ -70,6 +70,11 @@
 			Value:       time.Minute,
 			Destination: &opt.cfg.Retention,
 		},
+		&cli.BoolFlag{
+			Name:        "stamp",
+			Usage:       "add the send time to each token, to measure delays",
+			Destination: &opt.cfg.Stamp,
+		},
 	}
 }
 
--- a/internal/standin/verb/run.go
+++ b/internal/standin/verb/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/signal"
@@ -17,6 +18,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/cumintally/cumintally/internal/standin/fleet"
+	"github.com/cumintally/cumintally/internal/standin/load"
 )
 
 const runUsage = "start a whole environment, stream one chat answer, make one booking, and stop it"
@@ -24,6 +26,7 @@
 type runOptions struct {
 	binaries string
 	document string
+	load     time.Duration
 }
 
 func newRun() *cli.Command {
@@ -44,6 +47,11 @@
 				Value:       "examples/hrafnsglja.yaml",
 				Destination: &opt.document,
 			},
+			&cli.DurationFlag{
+				Name:        "load",
+				Usage:       "time for which to send load to all entry VMs before the stop",
+				Destination: &opt.load,
+			},
 		},
 		Action: opt.run,
 	}
@@ -105,7 +113,51 @@
 	if err := callAndPrint(ctx, flt.Entries[1], "/v1/chat/completions", "", chat); err != nil {
 		return errors.Trace(err)
 	}
-	return callAndPrint(ctx, flt.Entries[2], "/services/jobs/bookings", "booking-of-the-example", `{"Reference":"blank-17"}`)
+	if err := callAndPrint(ctx, flt.Entries[2], "/services/jobs/bookings", "booking-of-the-example", `{"Reference":"blank-17"}`); err != nil {
+		return errors.Trace(err)
+	}
+	return opt.sendLoad(ctx, flt)
+}
+
+// sendLoad loads all entry VMs with short answers and fails if an answer was wrong.
+func (opt *runOptions) sendLoad(ctx context.Context, flt *fleet.Fleet) error {
+	if opt.load == 0 {
+		return nil
+	}
+	cfg := load.Config{
+		Model:       "lap-recipes",
+		Rate:        50,
+		Duration:    opt.load,
+		MaxTokens:   32,
+		Prefixes:    8,
+		PrefixWords: 64,
+		Workspaces: []load.Workspace{{
+			Name:     "polishing",
+			Key:      fleet.CallerKey,
+			Share:    1,
+			Priority: 5,
+		}},
+		Seed: rand.Uint64() >> 1,
+	}
+	for _, ent := range flt.Entries {
+		cfg.Targets = append(cfg.Targets, ent.Address)
+	}
+	fmt.Printf("load with seed %d\n", cfg.Seed)
+	lod, err := load.New(cfg)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	rep, err := lod.Run(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := rep.WriteText(os.Stdout); err != nil {
+		return errors.Trace(err)
+	}
+	if rep.Wrong > 0 {
+		return errors.Errorf("%d answers were wrong", rep.Wrong)
+	}
+	return nil
 }
 
 // callAndPrint calls an entry VM as a caller does and prints what it answers.
--- a/internal/standin/verb/table.go
+++ b/internal/standin/verb/table.go
@@ -18,6 +18,7 @@
 	newEngine,
 	newService,
 	newRun,
+	newLoad,
 }
 
 // New returns the cumintally-standin command with all of its subcommands.
