--- a/internal/standin/engine/doc.go
+++ b/internal/standin/engine/doc.go
@@ -1,6 +1,7 @@
 // Package engine is a stand-in of a model engine, for tests and measurement only.
 //
-// It takes orders, reports, and generates a text that is a function of the prompt, so that a test can
-// tell whether an answer is whole and belongs to its request. Faults: it can crash on a marked prompt,
-// ignore fencing numbers, pause, and fall over when a cold start gets more than it bears.
+// It batches continuously, caches prompt prefixes, takes requests by priority, starts cold, takes orders,
+// reports its load with a lag, and generates a text that is a function of the prompt, so that a test can
+// tell whether an answer is whole and belongs to its request. Rank 0 watches the other members of its
+// group and stops serving when one is gone. Faults can be switched while it runs.
 package engine
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,24 +13,66 @@
 	"github.com/cumintally/cumintally/internal/backend"
 )
 
-// stream is a text in generation; it goes on when its reader is gone.
+// maxTokens bounds the length of a text.
+const maxTokens = 1 << 20
+
+// stream is a text in generation; it goes on when its reader is gone. Its engine's lock guards the
+// fields up to cold.
 type stream struct {
-	mu      sync.Mutex
-	frames  []backend.Frame
-	changed chan struct{}
-	aborted bool
+	name    string
+	req     backend.StreamRequest
+	tokens  []string
+	next    int
+	firstAt time.Time
+	cold    bool
+
+	mu       sync.Mutex
+	events   [][]byte
+	changed  chan struct{}
+	aborted  bool
+	finished bool
 }
 
-func newStream() *stream {
+// newStream returns a stream of the tokens that the caller does not have yet.
+func newStream(name string, req backend.StreamRequest, cold bool) *stream {
+	toks := Text(req.Prompt, req.MaxTokens)
+	skip := 0
+	for got := 0; skip < len(toks) && got < len(req.Continue); skip++ {
+		got += len(toks[skip])
+	}
 	return &stream{
+		name:    name,
+		req:     req,
+		tokens:  toks[skip:],
+		cold:    cold,
 		changed: make(chan struct{}),
 	}
 }
 
-func (str *stream) add(frm backend.Frame) {
+// token returns the next token.
+func (str *stream) token(stamped bool) string {
+	tok := str.tokens[str.next]
+	str.next++
+	if stamped {
+		return stamp(tok)
+	}
+	return tok
+}
+
+// add appends a frame and wakes the readers.
+func (str *stream) add(text, finish string) {
 	str.mu.Lock()
 	defer str.mu.Unlock()
-	str.frames = append(str.frames, frm)
+	// Marshalling a plain struct cannot fail.
+	data, _ := json.Marshal(backend.Frame{
+		RequestID: str.req.RequestID,
+		Attempt:   str.req.Attempt,
+		Sequence:  len(str.events),
+		Text:      text,
+		Finish:    finish,
+	})
+	str.events = append(str.events, append(append([]byte("data: "), data...), "\n\n"...))
+	str.finished = finish != ""
 	close(str.changed)
 	str.changed = make(chan struct{})
 }
@@ -44,31 +87,33 @@
 	}
 }
 
-func (str *stream) isAborted() bool {
+func (str *stream) ended() bool {
 	str.mu.Lock()
 	defer str.mu.Unlock()
-	return str.aborted
+	return str.aborted || str.finished
 }
 
-// wait returns the frame with a sequence number once it is there, or false if it never will be.
-func (str *stream) wait(ctx context.Context, seq int) (backend.Frame, bool) {
+// wait returns the event with a sequence number once it is there, and whether it is the last one, or
+// false if it never will be there.
+func (str *stream) wait(ctx context.Context, seq int) (evt []byte, last, ok bool) {
 	for {
 		str.mu.Lock()
-		if seq < len(str.frames) {
-			frm := str.frames[seq]
+		if seq < len(str.events) {
+			evt := str.events[seq]
+			last := str.finished && seq == len(str.events)-1
 			str.mu.Unlock()
-			return frm, true
+			return evt, last, true
 		}
-		ended := str.aborted || (len(str.frames) > 0 && str.frames[len(str.frames)-1].Finish != "")
+		ended := str.aborted || str.finished
 		changed := str.changed
 		str.mu.Unlock()
 		if ended {
-			return backend.Frame{}, false
+			return nil, false, false
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return backend.Frame{}, false
+			return nil, false, false
 		}
 	}
 }
@@ -109,51 +154,3 @@
 	}
 	return text[:idx] + " ", time.Unix(0, nanos)
 }
-
-// run generates the text of a request; it skips what the caller already has.
-func (eng *Engine) run(idn string, str *stream, srq backend.StreamRequest) {
-	defer eng.finish(idn)
-	time.Sleep(eng.stretched(eng.cfg.PrefillTime))
-	toks := Text(srq.Prompt, srq.MaxTokens)
-	skip := 0
-	for got := 0; skip < len(toks) && got < len(srq.Continue); skip++ {
-		got += len(toks[skip])
-	}
-	toks = toks[skip:]
-	for idx := 0; idx <= len(toks); idx++ {
-		if str.isAborted() {
-			return
-		}
-		frm := backend.Frame{
-			RequestID: srq.RequestID,
-			Attempt:   srq.Attempt,
-			Sequence:  idx,
-		}
-		if idx == len(toks) {
-			frm.Finish = "length"
-			str.add(frm)
-			return
-		}
-		frm.Text = toks[idx]
-		if eng.cfg.Stamp {
-			frm.Text = stamp(frm.Text)
-		}
-		str.add(frm)
-		time.Sleep(eng.stretched(eng.cfg.TokenTime))
-	}
-}
-
-func (eng *Engine) finish(idn string) {
-	eng.mu.Lock()
-	eng.running--
-	eng.finished++
-	if eng.finished >= eng.cfg.WarmAfter {
-		eng.warm = true
-	}
-	eng.mu.Unlock()
-	time.AfterFunc(eng.cfg.Retention, func() {
-		eng.mu.Lock()
-		defer eng.mu.Unlock()
-		delete(eng.streams, idn)
-	})
-}
--- a/internal/standin/fault/switch.go
+++ b/internal/standin/fault/switch.go
@@ -8,7 +8,8 @@
 
 // Switch holds the faults of one stand-in, a plain struct that is replaced as a whole.
 type Switch[T any] struct {
-	val atomic.Pointer[T]
+	val   atomic.Pointer[T]
+	onSet func(T)
 }
 
 // New returns a switch with the given faults.
@@ -23,9 +24,17 @@
 	return *swt.val.Load()
 }
 
+// OnSet calls fnc with the faults whenever they are replaced; it must be called before the first Set.
+func (swt *Switch[T]) OnSet(fnc func(T)) {
+	swt.onSet = fnc
+}
+
 // Set replaces the faults.
 func (swt *Switch[T]) Set(val T) {
 	swt.val.Store(&val)
+	if swt.onSet != nil {
+		swt.onSet(val)
+	}
 }
 
 // ServeHTTP shows the faults on GET and replaces them on PUT.
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -35,6 +35,8 @@
 	VMsPerDomain   int
 	Service        string
 	ServicesByZone int
+	// PlatformArgs are passed to the platform.
+	PlatformArgs []string
 	// EngineArgs are passed to every engine.
 	EngineArgs []string
 	// EntryEnv is added to the environment of every daemon.
@@ -79,7 +81,7 @@
 
 func (flt *Fleet) start(ctx context.Context) error {
 	var err error
-	if flt.Platform, err = flt.standin("platform", "platform"); err != nil {
+	if flt.Platform, err = flt.standin("platform", "platform", flt.cfg.PlatformArgs...); err != nil {
 		return errors.Trace(err)
 	}
 	if err := waitFor(ctx, "http://"+flt.Platform.Address+"/calls"); err != nil {
@@ -108,7 +110,7 @@
 		domain := fmt.Sprintf("%s-fabric-%d", zon, dom+1)
 		for idx := range flt.cfg.VMsPerDomain {
 			name := fmt.Sprintf("%s-vm-%d", domain, idx+1)
-			prc, err := flt.standin(name, "engine", append([]string{"--vm", name}, flt.cfg.EngineArgs...)...)
+			prc, err := flt.standin(name, "engine", append([]string{"--vm", name, "--platform", flt.Platform.Address}, flt.cfg.EngineArgs...)...)
 			if err != nil {
 				return errors.Trace(err)
 			}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -7,11 +7,12 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/cumintally/cumintally/internal/platform"
 	"github.com/cumintally/cumintally/internal/standin/fault"
@@ -20,44 +21,45 @@
 // watchTime is the longest time that a watch waits.
 const watchTime = 10 * time.Second
 
-// Faults are the faults that the platform stand-in can show.
-type Faults struct {
-	// Out refuses every call with 503.
-	Out bool
-	// Delay is added to every call.
-	Delay time.Duration
-	// LoseAnswers lets the next so many writes take effect and then breaks the connection.
-	LoseAnswers int64
-}
-
 // Platform serves the object API over HTTP.
 type Platform struct {
+	cfg    Config
 	sto    *Store
 	flt    *fault.Switch[Faults]
-	reads  atomic.Int64
-	writes atomic.Int64
-	lost   atomic.Int64
+	cnt    *counter
+	reads  *rate.Limiter
+	writes *rate.Limiter
+
+	mu sync.Mutex
+	// left holds how many writes and answers are still to lose.
+	left Faults
+	// outage is closed when an outage begins, to end pending watches.
+	outage chan struct{}
 }
 
 // New returns a platform that serves sto.
-func New(sto *Store) *Platform {
-	return &Platform{
-		sto: sto,
-		flt: fault.New(Faults{}),
+func New(cfg Config, sto *Store) *Platform {
+	plt := &Platform{
+		cfg:    cfg,
+		sto:    sto,
+		flt:    fault.New(Faults{}),
+		cnt:    newCounter(),
+		reads:  rate.NewLimiter(rate.Inf, 1),
+		writes: rate.NewLimiter(rate.Inf, 1),
+		outage: make(chan struct{}),
 	}
+	plt.setFaults(Faults{})
+	plt.flt.OnSet(plt.setFaults)
+	return plt
 }
 
-// Calls are the numbers of calls that the platform has counted.
-type Calls struct {
-	Reads  int64
-	Writes int64
-}
-
-// Handler returns the API, and beside it /faults, /calls and /vms/{name} for tests.
+// Handler returns the API, and beside it /faults, /calls, /addresses and /vms/{name} for tests; these
+// four are not counted and know no faults.
 func (plt *Platform) Handler() http.Handler {
 	rtr := chi.NewRouter()
 	rtr.Handle("/faults", plt.flt)
-	rtr.Get("/calls", plt.showCalls)
+	rtr.Get("/calls", func(rsw http.ResponseWriter, _ *http.Request) { answer(rsw, plt.cnt.calls()) })
+	rtr.Get("/addresses", func(rsw http.ResponseWriter, _ *http.Request) { answer(rsw, plt.sto.addresses()) })
 	rtr.Put("/vms/{name}", plt.putVM)
 	rtr.Delete("/vms/{name}", plt.deleteVM)
 	rtr.Group(func(api chi.Router) {
@@ -71,32 +73,6 @@
 	return rtr
 }
 
-func (plt *Platform) admit(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(rsw http.ResponseWriter, req *http.Request) {
-		if req.Method == http.MethodGet {
-			plt.reads.Add(1)
-		} else {
-			plt.writes.Add(1)
-		}
-		flt := plt.flt.Get()
-		if flt.Delay > 0 {
-			time.Sleep(flt.Delay)
-		}
-		if flt.Out {
-			http.Error(rsw, "the platform is out", http.StatusServiceUnavailable)
-			return
-		}
-		next.ServeHTTP(rsw, req)
-	})
-}
-
-func (plt *Platform) showCalls(rsw http.ResponseWriter, _ *http.Request) {
-	answer(rsw, Calls{
-		Reads:  plt.reads.Load(),
-		Writes: plt.writes.Load(),
-	})
-}
-
 func (plt *Platform) putVM(rsw http.ResponseWriter, req *http.Request) {
 	var vmc platform.VM
 	if err := json.NewDecoder(req.Body).Decode(&vmc); err != nil {
@@ -111,9 +87,12 @@
 	plt.sto.RemoveVM(param(req, "name"))
 }
 
-func (plt *Platform) listVMs(rsw http.ResponseWriter, req *http.Request) {
-	vms, _ := plt.sto.listVMs(req.Context())
-	answer(rsw, vms)
+func (plt *Platform) listVMs(rsw http.ResponseWriter, _ *http.Request) {
+	lag := plt.cfg.VMLag
+	if flt := plt.flt.Get(); flt.VMLag > 0 {
+		lag = flt.VMLag
+	}
+	answer(rsw, plt.sto.vmsAt(time.Now().Add(-lag)))
 }
 
 type listAnswer struct {
@@ -139,7 +118,10 @@
 			http.Error(rsw, "since is not a revision", http.StatusBadRequest)
 			return
 		}
-		objs, rev = plt.watch(req, param(req, "kind"), since)
+		var ok bool
+		if objs, rev, ok = plt.watch(req, param(req, "kind"), since); !ok {
+			panic(http.ErrAbortHandler)
+		}
 	}
 	ans := listAnswer{
 		Revision: rev,
@@ -156,15 +138,29 @@
 	answer(rsw, ans)
 }
 
-func (plt *Platform) watch(req *http.Request, kind string, since uint64) ([]platform.Object, uint64) {
+// watch waits for changes; it returns false if an outage began meanwhile.
+func (plt *Platform) watch(req *http.Request, kind string, since uint64) ([]platform.Object, uint64, bool) {
 	ctx, cancel := context.WithTimeout(req.Context(), watchTime)
 	defer cancel()
+	plt.mu.Lock()
+	outage := plt.outage
+	plt.mu.Unlock()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-outage:
+			cancel()
+		case <-ended:
+		}
+	}()
 	objs, rev, _ := plt.sto.watch(ctx, kind, since)
-	// An outage that began while the watch waited hides the change from the watcher.
-	if plt.flt.Get().Out {
-		return nil, since
+	select {
+	case <-outage:
+		return nil, 0, false
+	default:
+		return objs, rev, true
 	}
-	return objs, rev
 }
 
 func (plt *Platform) get(rsw http.ResponseWriter, req *http.Request) {
@@ -189,12 +185,13 @@
 		http.Error(rsw, "a condition is required", http.StatusPreconditionRequired)
 		return
 	}
+	plt.loseWrite()
 	ver, err := plt.sto.put(req.Context(), param(req, "kind"), param(req, "name"), exp, val)
 	if err != nil {
 		fail(rsw, err)
 		return
 	}
-	plt.loseAnswer()
+	plt.loseAnswer(req)
 	rsw.Header().Set("ETag", etag(ver))
 }
 
@@ -204,18 +201,12 @@
 		http.Error(rsw, "a condition is required", http.StatusPreconditionRequired)
 		return
 	}
+	plt.loseWrite()
 	if err := plt.sto.remove(req.Context(), param(req, "kind"), param(req, "name"), exp); err != nil {
 		fail(rsw, err)
 		return
 	}
-	plt.loseAnswer()
-}
-
-// loseAnswer breaks the connection if the fault is on and its count is not yet used up.
-func (plt *Platform) loseAnswer() {
-	if most := plt.flt.Get().LoseAnswers; most > 0 && plt.lost.Add(1) <= most {
-		panic(http.ErrAbortHandler)
-	}
+	plt.loseAnswer(req)
 }
 
 func expected(req *http.Request) (uint64, bool) {
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"sort"
 	"sync"
+	"time"
 
 	"github.com/cumintally/cumintally/internal/platform"
 )
@@ -15,8 +16,18 @@
 	objects  map[string]map[string]platform.Object
 	changed  chan struct{}
 	vms      map[string]platform.VM
+	// lists are the lists of VMs of the last while, the newest last.
+	lists []vmList
 }
 
+type vmList struct {
+	at  time.Time
+	vms []platform.VM
+}
+
+// maxVMLag is the time for which former lists of VMs are kept.
+const maxVMLag = time.Minute
+
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
@@ -126,14 +137,29 @@
 }
 
 func (sto *Store) listVMs(context.Context) ([]platform.VM, error) {
+	return sto.vmsAt(time.Now()), nil
+}
+
+// vmsAt returns the list of VMs as it was at a time, or the oldest one kept.
+func (sto *Store) vmsAt(when time.Time) []platform.VM {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
-	vms := make([]platform.VM, 0, len(sto.vms))
-	for _, vmc := range sto.vms {
-		vms = append(vms, vmc)
+	idx := sort.Search(len(sto.lists), func(idx int) bool { return sto.lists[idx].at.After(when) })
+	if idx == 0 {
+		return []platform.VM{}
 	}
-	sort.Slice(vms, func(fst, snd int) bool { return vms[fst].Name < vms[snd].Name })
-	return vms, nil
+	return sto.lists[idx-1].vms
+}
+
+// addresses returns the present address of each VM by name.
+func (sto *Store) addresses() map[string]string {
+	sto.mu.Lock()
+	defer sto.mu.Unlock()
+	adrs := map[string]string{}
+	for name, vmc := range sto.vms {
+		adrs[name] = vmc.Address
+	}
+	return adrs
 }
 
 // SetVM adds a VM to the list or replaces its entry.
@@ -141,6 +167,7 @@
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	sto.vms[vmc.Name] = vmc
+	sto.keepList()
 }
 
 // RemoveVM takes a VM off the list.
@@ -148,4 +175,19 @@
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	delete(sto.vms, name)
+	sto.keepList()
+}
+
+func (sto *Store) keepList() {
+	vms := make([]platform.VM, 0, len(sto.vms))
+	for _, vmc := range sto.vms {
+		vms = append(vms, vmc)
+	}
+	sort.Slice(vms, func(fst, snd int) bool { return vms[fst].Name < vms[snd].Name })
+	now := time.Now()
+	old := sort.Search(len(sto.lists), func(idx int) bool { return now.Sub(sto.lists[idx].at) <= maxVMLag })
+	sto.lists = append(sto.lists[max(0, old-1):], vmList{
+		at:  now,
+		vms: vms,
+	})
 }
--- a/internal/standin/verb/engine.go
+++ b/internal/standin/verb/engine.go
@@ -59,6 +59,12 @@
 			Value:       2,
 			Destination: &opt.cfg.ColdLimit,
 		},
+		&cli.DurationFlag{
+			Name:        "cold-notice",
+			Usage:       "time after turning cold in which excess requests are only refused",
+			Value:       3 * time.Second,
+			Destination: &opt.cfg.ColdNotice,
+		},
 		&cli.BoolFlag{
 			Name:        "ignore-fencing",
 			Usage:       "take orders with old fencing numbers",
@@ -83,11 +89,57 @@
 	return &cli.Command{
 		Name:   "engine",
 		Usage:  engineUsage,
-		Flags:  opt.flags(),
+		Flags:  append(opt.flags(), opt.batchFlags()...),
 		Action: opt.run,
 	}
 }
 
+func (opt *engineOptions) batchFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Name:        "platform",
+			Usage:       "IP:port of the platform stand-in, to find the other members of a group",
+			Destination: &opt.cfg.Platform,
+		},
+		&cli.DurationFlag{
+			Name:        "step-growth",
+			Usage:       "time that each further request adds to a decoding step",
+			Value:       50 * time.Microsecond,
+			Destination: &opt.cfg.StepGrowth,
+		},
+		&cli.IntFlag{
+			Name:        "max-batch",
+			Usage:       "requests decoded at once",
+			Value:       64,
+			Destination: &opt.cfg.MaxBatch,
+		},
+		&cli.IntFlag{
+			Name:        "cache-blocks",
+			Usage:       "prompt prefix blocks that the cache holds",
+			Value:       4096,
+			Destination: &opt.cfg.CacheBlocks,
+		},
+		&cli.DurationFlag{
+			Name:        "cache-lag",
+			Usage:       "time after which cache events are published",
+			Value:       200 * time.Millisecond,
+			Destination: &opt.cfg.CacheLag,
+		},
+		&cli.IntFlag{
+			Name:        "cache-gap",
+			Usage:       "every so many-th cache event is lost; 0 loses none",
+			Value:       50,
+			Destination: &opt.cfg.CacheGap,
+		},
+		&cli.DurationFlag{
+			Name:        "report-lag",
+			Usage:       "age of the load figures in reports",
+			Value:       200 * time.Millisecond,
+			Destination: &opt.cfg.ReportLag,
+		},
+	}
+}
+
 func (opt *engineOptions) run(ctx context.Context, _ *cli.Command) error {
 	crash := func() { os.Exit(crashStatus) }
 	return serve(ctx, opt.listen, engine.New(opt.cfg, crash).Handler())
