Measure the cost of relaying streams (make bench-relay)

One daemon relays 155 streams and 34,150 tokens/s from 8 engines, and the same load goes to the engines directly in the same run.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build run test race vet lint format spec
+.PHONY: build run test race vet lint format spec bench-relay
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -30,3 +30,6 @@
 
 spec:
 	spec/check.sh
+
+bench-relay: build
+	$(BIN)/cumintally-standin bench-relay --binaries $(BIN)
--- /dev/null
+++ b/internal/standin/verb/relay.go
@@ -0,0 +1,187 @@
+package verb
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/cumintally/cumintally/internal/standin/fleet"
+	"github.com/cumintally/cumintally/internal/standin/load"
+)
+
+const relayUsage = "measure what one entry VM's daemon costs and adds when it relays streams"
+
+// relayEngines is the number of engines that share the streams, each a group of its own.
+const relayEngines = 8
+
+// relayDocument lets each engine be a whole group that takes any number of the streams when cold.
+const relayDocument = `AvailabilityZones:
+  - {Name: bench, Region: bench}
+Models:
+  - {Name: bench, Version: "1", VMsPerGroup: 1, ColdLimit: 1000, WarmLimit: 1000}
+Groups:
+  - {Name: bench, Model: bench, AvailabilityZone: bench, Replicas: 8}
+Workspaces:
+  - Name: polishing
+    KeyHashes: [064f736ded26ef7daea0f8913982c3dceded5a1dc4854caa1a3fa86042670bba]
+    Share: 1
+    Priority: 5
+`
+
+type relayOptions struct {
+	binaries string
+	streams  int
+	rate     int
+	duration time.Duration
+}
+
+func newRelay() *cli.Command {
+	opt := &relayOptions{}
+	return &cli.Command{
+		Name:  "bench-relay",
+		Usage: relayUsage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:        "binaries",
+				Usage:       "folder of the programs",
+				Value:       "bin",
+				Destination: &opt.binaries,
+			},
+			&cli.IntFlag{
+				Name:        "streams",
+				Usage:       "streams open at once",
+				Value:       155,
+				Destination: &opt.streams,
+			},
+			&cli.IntFlag{
+				Name:        "rate",
+				Usage:       "tokens a second over all streams",
+				Value:       34150,
+				Destination: &opt.rate,
+			},
+			&cli.DurationFlag{
+				Name:        "duration",
+				Usage:       "time of each of the two measurements",
+				Value:       10 * time.Second,
+				Destination: &opt.duration,
+			},
+		},
+		Action: opt.run,
+	}
+}
+
+func (opt *relayOptions) run(ctx context.Context, _ *cli.Command) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, time.Minute+3*opt.duration)
+	defer cancel()
+	folder, err := os.MkdirTemp("", "cumintally-relay-")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer os.RemoveAll(folder)
+	flt, err := fleet.Start(ctx, fleet.Config{
+		Binaries:       opt.binaries,
+		Folder:         folder,
+		Zones:          []string{"bench"},
+		EntryVMs:       1,
+		DomainsPerZone: 1,
+		VMsPerDomain:   relayEngines,
+		EngineArgs: []string{
+			"--stamp", "--cold-limit", "1000", "--max-batch", "1000", "--step-growth", "0s", "--prefill-time", "0s",
+			"--token-time", (time.Second * time.Duration(opt.streams) / time.Duration(opt.rate)).String(),
+		},
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer flt.Kill()
+	ent := flt.Entries[0]
+	if _, err := fleet.Promote(ctx, ent, []byte(relayDocument), 0); err != nil {
+		return errors.Trace(err)
+	}
+	if err := fleet.WaitServing(ctx, ent, relayEngines); err != nil {
+		printLogs(folder)
+		return errors.Trace(err)
+	}
+	return opt.compare(ctx, flt)
+}
+
+// compare sends the same load to the engines and then to the daemon, and prints the difference.
+func (opt *relayOptions) compare(ctx context.Context, flt *fleet.Fleet) error {
+	seed := rand.Uint64() >> 1
+	var engines []string
+	for _, eng := range flt.Engines {
+		engines = append(engines, eng.Address)
+	}
+	direct, err := opt.measure(ctx, engines, true, seed)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ent := flt.Entries[0]
+	before, err := ent.CPUTime()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	relayed, err := opt.measure(ctx, []string{ent.Address}, false, seed)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	after, err := ent.CPUTime()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	used := after - before
+	fmt.Printf("seed %d, %d streams, %d tokens/s wanted\n", seed, opt.streams, opt.rate)
+	fmt.Printf("direct:  %.0f tokens/s, token delay p50 %v, p95 %v, p99 %v\n", direct.TokensPerSec, direct.Delay.P50, direct.Delay.P95, direct.Delay.P99)
+	fmt.Printf("relayed: %.0f tokens/s, token delay p50 %v, p95 %v, p99 %v\n", relayed.TokensPerSec, relayed.Delay.P50, relayed.Delay.P95, relayed.Delay.P99)
+	fmt.Printf("added token delay: p50 %v, p95 %v\n", relayed.Delay.P50-direct.Delay.P50, relayed.Delay.P95-direct.Delay.P95)
+	fmt.Printf("added time to first token: p50 %v, p95 %v\n",
+		relayed.Classes[0].FirstToken.P50-direct.Classes[0].FirstToken.P50, relayed.Classes[0].FirstToken.P95-direct.Classes[0].FirstToken.P95)
+	fmt.Printf("daemon: %.2f s of CPU in %.2f s, %.3f cores per 10,000 tokens/s\n",
+		used.Seconds(), relayed.Elapsed.Seconds(), used.Seconds()*10_000/float64(relayed.Tokens))
+	// Starting 155 streams and ending them costs a little of the mean rate.
+	if relayed.TokensPerSec < 0.97*float64(opt.rate) {
+		return errors.Errorf("the daemon relayed %.0f of %d tokens/s", relayed.TokensPerSec, opt.rate)
+	}
+	return nil
+}
+
+func (opt *relayOptions) measure(ctx context.Context, targets []string, direct bool, seed uint64) (*load.Report, error) {
+	tokens := int(float64(opt.rate) / float64(opt.streams) * opt.duration.Seconds())
+	lod, err := load.New(load.Config{
+		Targets:   targets,
+		Direct:    direct,
+		Model:     "bench",
+		Rate:      10_000,
+		Count:     opt.streams,
+		MinTokens: tokens,
+		MaxTokens: tokens,
+		Workspaces: []load.Workspace{{
+			Name:  "polishing",
+			Key:   fleet.CallerKey,
+			Share: 1,
+		}},
+		Deadline: 2 * opt.duration,
+		Stamped:  true,
+		Seed:     seed,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	rep, err := lod.Run(ctx)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if rep.Whole != opt.streams {
+		return nil, errors.Errorf("%d of %d answers were whole: %v", rep.Whole, opt.streams, rep.Details)
+	}
+	return rep, nil
+}
--- a/internal/standin/verb/table.go
+++ b/internal/standin/verb/table.go
@@ -19,6 +19,7 @@
 	newService,
 	newRun,
 	newLoad,
+	newRelay,
 }
 
 // New returns the cumintally-standin command with all of its subcommands.
