--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -24,8 +24,12 @@
 
 // New returns a client that sends over htc.
 func New(htc *http.Client) *Client {
+	// Backend servers do not redirect. net/http would turn a redirected request into a read, whose success
+	// would pass for that of the request.
+	own := *htc
+	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
-		htc: htc,
+		htc: &own,
 	}
 }
 
@@ -78,6 +82,7 @@
 	}
 	scn := bufio.NewScanner(res.Body)
 	scn.Buffer(make([]byte, 0, 4096), maxEventSize)
+	scn.Split(wholeLines)
 	return &Stream{
 		body: res.Body,
 		scn:  scn,
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -24,9 +24,13 @@
 
 // New returns a client of the API at base, such as "http://127.0.0.1:7000"; calls counts every call made.
 func New(base string, htc *http.Client, calls metrics.Counter) *Client {
+	// The API does not redirect. net/http would turn a redirected write into a read, whose success would
+	// pass for that of the write.
+	own := *htc
+	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
 		base:  strings.TrimSuffix(base, "/"),
-		htc:   htc,
+		htc:   &own,
 		calls: calls,
 	}
 }
@@ -115,7 +119,12 @@
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
-	return parseVersion(res.header.Get("ETag"))
+	ver, err := parseVersion(res.header.Get("ETag"))
+	if err != nil {
+		// The write took effect as far as its status says, so that it must not pass for one not made.
+		return 0, errors.Annotate(ErrUnknownOutcome, err.Error())
+	}
+	return ver, nil
 }
 
 // Delete removes the object if its version is still expected.
@@ -216,7 +225,8 @@
 
 func parseVersion(etag string) (uint64, error) {
 	ver, err := strconv.ParseUint(strings.Trim(etag, `"`), 10, 64)
-	if err != nil {
+	// Versions start at 1, since 0 as an expected version stands for no object.
+	if err != nil || ver == 0 {
 		return 0, errors.Annotatef(ErrUnavailable, "ETag %q is not a version", etag)
 	}
 	return ver, nil
