--- /dev/null
+++ b/internal/platform/fuzz_test.go
@@ -0,0 +1,70 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/cumintally/cumintally/internal/platform"
+)
+
+type answerer func(*http.Request) (*http.Response, error)
+
+func (ans answerer) RoundTrip(req *http.Request) (*http.Response, error) { return ans(req) }
+
+// FuzzAnswers guards against a crash, or an error of the wrong kind, on an answer of the platform that is
+// not what the protocol says.
+func FuzzAnswers(fzz *testing.F) {
+	fzz.Add(200, `"7"`, `{"Revision":9,"Objects":[{"Name":"a","Version":7,"Value":{"X":1}},{"Name":"b","Version":8,"Deleted":true}]}`)
+	fzz.Add(200, `"0"`, `[{"Name":"vm-1","Role":"Engine","State":"Live","Address":"127.0.0.1:1"}]`)
+	fzz.Add(200, ``, `{"Revision":-1,"Objects":null}`)
+	fzz.Add(200, `W/"7"`, `null`)
+	fzz.Add(304, `"7"`, ``)
+	fzz.Add(412, ``, `conflict`)
+	fzz.Fuzz(func(tst *testing.T, status int, etag, body string) {
+		if status < 200 || status > 599 {
+			tst.Skip()
+		}
+		ans := answerer(func(req *http.Request) (*http.Response, error) {
+			return &http.Response{
+				StatusCode: status,
+				Header:     http.Header{"Etag": {etag}},
+				Body:       io.NopCloser(strings.NewReader(body)),
+				Request:    req,
+			}, nil
+		})
+		pst := platform.New("http://platform", &http.Client{Transport: ans}, metrics.NewCounter()).Store()
+		ctx := context.Background()
+		if objs, _, err := pst.List(ctx, kind); err == nil {
+			for _, obj := range objs {
+				qt.Check(tst, len(obj.Value) == 0 || json.Valid(obj.Value), qt.IsTrue)
+			}
+		} else {
+			known(tst, err, platform.ErrUnavailable, platform.ErrNotFound, platform.ErrConflict, platform.ErrTooLarge)
+		}
+		if _, err := pst.VMs(ctx); err != nil {
+			known(tst, err, platform.ErrUnavailable, platform.ErrNotFound, platform.ErrConflict, platform.ErrTooLarge)
+		}
+		if ver, err := pst.Put(ctx, kind, "one", 0, []byte(`1`)); err == nil {
+			qt.Check(tst, ver > 0 && status < 300, qt.IsTrue)
+		} else if status < 300 {
+			known(tst, err, platform.ErrUnknownOutcome)
+		}
+	})
+}
+
+func known(tst *testing.T, err error, expected ...error) {
+	for _, exp := range expected {
+		if errors.Is(err, exp) {
+			return
+		}
+	}
+	tst.Errorf("unexpected error %v", err)
+}
--- /dev/null
+++ b/internal/stream/fuzz_test.go
@@ -0,0 +1,63 @@
+package stream
+
+import (
+	"encoding/base64"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// FuzzToken guards against a token that was not made with the key but is accepted, and against a crash
+// on a token that was but whose content is not one, as from a daemon of another version.
+func FuzzToken(fzz *testing.F) {
+	key := []byte("key")
+	tok := Token{
+		RequestID: "one",
+		Attempt:   1,
+		Address:   "127.0.0.1:1",
+		Workspace: "polishing",
+	}
+	data, _ := cbor.Marshal(tok)
+	fzz.Add(tok.Encode(key), data)
+	fzz.Add(tok.Encode([]byte("another")), []byte{0xa0})
+	fzz.Add("", []byte{})
+	fzz.Add("AAAAAAAAAAAAAAAAAAAAAA", []byte{0xbf, 0xff})
+	fzz.Fuzz(func(tst *testing.T, text string, data []byte) {
+		if got, err := Decode(key, text); err == nil {
+			raw, _ := base64.RawURLEncoding.DecodeString(text)
+			qt.Check(tst, raw[:macSize], qt.DeepEquals, code(key, raw[macSize:]))
+			qt.Check(tst, got, qt.Equals, tok, qt.Commentf("no other token was made with the key"))
+		} else {
+			qt.Check(tst, err, qt.ErrorIs, ErrToken)
+		}
+		got, err := Decode(key, base64.RawURLEncoding.EncodeToString(append(code(key, data), data...)))
+		if err != nil {
+			qt.Check(tst, err, qt.ErrorIs, ErrToken)
+			return
+		}
+		again, err := Decode(key, got.Encode(key))
+		qt.Check(tst, err, qt.IsNil)
+		qt.Check(tst, again, qt.Equals, got)
+	})
+}
+
+// FuzzEventID guards against an event id that is read as another one than was written.
+func FuzzEventID(fzz *testing.F) {
+	fzz.Add("token.7")
+	fzz.Add("token.-1")
+	fzz.Add("token.")
+	fzz.Add("a.b.3")
+	fzz.Add("token.9223372036854775808")
+	fzz.Fuzz(func(tst *testing.T, text string) {
+		token, seq, err := ParseEventID(text)
+		if err != nil {
+			qt.Check(tst, err, qt.ErrorIs, ErrToken)
+			return
+		}
+		tok, again, err := ParseEventID(EventID(token, seq))
+		qt.Check(tst, err, qt.IsNil)
+		qt.Check(tst, tok, qt.Equals, token)
+		qt.Check(tst, again, qt.Equals, seq)
+	})
+}
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -24,9 +24,11 @@
 	if len(data) > MaxSize {
 		return nil, errors.Annotatef(ErrInvalid, "%s: more than %d bytes", name, MaxSize)
 	}
+	if nesting(data) > maxNesting {
+		return nil, errors.Annotatef(ErrInvalid, "%s: brackets are nested deeper than %d", name, maxNesting)
+	}
 	var doc Document
-	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.Validator(validator.New()))
-	if err := dec.Decode(&doc); err != nil {
+	if err := decode(data, &doc); err != nil {
 		return nil, errors.Annotatef(ErrInvalid, "%s: %s", name, strings.TrimSpace(yaml.FormatError(err, false, true)))
 	}
 	if err := doc.checkReferences(); err != nil {
@@ -35,6 +37,35 @@
 	return &doc, nil
 }
 
+// maxNesting bounds the nesting of brackets. The time of the YAML library grows with its square: 100,000
+// open brackets took 33 s. A document needs three levels; brackets within texts count too.
+const maxNesting = 100
+
+// nesting returns the most brackets that are open at any place.
+func nesting(data []byte) int {
+	depth, most := 0, 0
+	for _, chr := range data {
+		switch chr {
+		case '[', '{':
+			depth++
+			most = max(most, depth)
+		case ']', '}':
+			depth = max(0, depth-1)
+		}
+	}
+	return most
+}
+
+// decode reads YAML strictly; the library panics on some malformed texts, which is an error like others.
+func decode(data []byte, doc *Document) (err error) {
+	defer func() {
+		if val := recover(); val != nil {
+			err = fmt.Errorf("the YAML is malformed: %v", val)
+		}
+	}()
+	return yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), yaml.Validator(validator.New())).Decode(doc)
+}
+
 // checkReferences checks that groups name models and zones of the same document.
 func (doc *Document) checkReferences() error {
 	zones := map[string]bool{}
