--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build run test race vet lint format spec
+.PHONY: build run test race vet lint format spec bench-relay
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -33,3 +33,5 @@
 
 bench-capacity: build
 	$(BIN)/cumintally-standin capacity --binaries $(BIN)
+bench-relay: build
+	$(BIN)/cumintally-standin bench-relay --binaries $(BIN)
--- a/internal/standin/verb/table.go
+++ b/internal/standin/verb/table.go
@@ -19,6 +19,8 @@
 	newService,
 	newRun,
 	newCapacity,
+	newLoad,
+	newRelay,
 }
 
 // New returns the cumintally-standin command with all of its subcommands.
