Take orders to zones without the platform and settle races

Cause: an order needed the platform, so that a zone that was cut off could not be taken out of service; daemons that were cut off from the platform never learnt of one; a write with a lost answer was reported as failed; a conflict was answered with 503.

Without the platform an order for the daemon's own zone takes the next version in one step with being kept, spreads through ZoneOrder frames, and is written back by any daemon of the zone that reaches the platform. The higher version wins; at equal versions from two sides of a partition, out wins over in, then the writer's token decides. An order for another zone that needs the platform is refused while that is out, since it could not be known to take effect.

Ruled out: last writer by time (compares clocks); one owner that writes back (it may be the one that is cut off).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/cumintally/cumintally/internal/probe"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/zone"
+	"github.com/cumintally/cumintally/internal/zoneorder"
 )
 
 // headerTimeout bounds how long a client may take to send the headers of a request.
@@ -44,6 +45,7 @@
 	Inventory  *inventory.Inventory
 	Prober     *probe.Prober
 	Controller *controller.Controller
+	ZoneOrders *zoneorder.Orders
 	Caller     *caller.Handler
 	Operator   *operator.Handler
 }
@@ -119,6 +121,7 @@
 	wgr.Go(func() { ent.dep.Membership.Run(ctx) })
 	wgr.Go(func() { ent.dep.Gossip.Run(ctx) })
 	wgr.Go(func() { ent.dep.Prober.Run(ctx) })
+	wgr.Go(func() { ent.dep.ZoneOrders.Run(ctx) })
 	wgr.Go(func() { ent.dep.Inventory.FollowVMs(ctx) })
 	wgr.Go(func() { fol.settle(ctx) })
 	for _, kind := range []string{platform.KindAllocation, platform.KindZone, platform.KindDocument} {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -1,10 +1,7 @@
 package entry
 
 import (
-	"context"
-	"encoding/json"
-
-	"github.com/juju/errors"
+	"github.com/jonboulle/clockwork"
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -17,36 +14,43 @@
 	"github.com/cumintally/cumintally/internal/rollout"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/zone"
+	"github.com/cumintally/cumintally/internal/zoneorder"
 )
 
-// orderZone writes an operator's order to a zone by conditional update.
-func orderZone(pst platform.Store, inv *inventory.Inventory) func(ctx context.Context, name string, out bool) (inventory.Zone, error) {
-	return func(ctx context.Context, name string, out bool) (inventory.Zone, error) {
-		zon := inv.Zone(name)
-		obj, err := pst.Get(ctx, platform.KindZone, name)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
-			return zon, errors.Trace(err)
-		}
-		if err == nil {
-			if err := json.Unmarshal(obj.Value, &zon); err != nil {
-				return zon, errors.Trace(err)
+func newZoneOrders(
+	set *settings.Settings,
+	msh *peer.Mesh,
+	mbs *zone.Membership,
+	inv *inventory.Inventory,
+	pst platform.Store,
+	clk clockwork.Clock,
+	log *zap.Logger,
+) *zoneorder.Orders {
+	sea := zoneorder.Seams{
+		Peers: func() []string {
+			var adrs []string
+			for _, ide := range mbs.Alive() {
+				if ide.Name != set.Entry.Name {
+					adrs = append(adrs, ide.Address)
+				}
 			}
-		}
-		next := inventory.Zone{
-			Name:    name,
-			Out:     out,
-			Version: zon.Version + 1,
-		}
-		val, err := json.Marshal(next)
-		if err != nil {
-			return zon, errors.Trace(err)
-		}
-		if _, err := pst.Put(ctx, platform.KindZone, name, obj.Version, val); err != nil {
-			return zon, errors.Trace(err)
-		}
-		inv.SetZone(next)
-		return next, nil
+			return adrs
+		},
+		Daemons: func(zone string) []string {
+			var adrs []string
+			vms, _ := inv.VMs()
+			for _, vmc := range vms {
+				if vmc.Role == platform.RoleEntry && vmc.AvailabilityZone == zone {
+					adrs = append(adrs, vmc.Address)
+				}
+			}
+			return adrs
+		},
+		Call: msh.Call,
 	}
+	ord := zoneorder.New(set.Entry.AvailabilityZone, sea, pst, inv, clk, log)
+	msh.Handle(zoneorder.Kind, ord.Answer)
+	return ord
 }
 
 func newOperator(
@@ -57,10 +61,10 @@
 	mbs *zone.Membership,
 	rol *rollout.Rollout,
 	met metrics.Registry,
-	pst platform.Store,
+	ord *zoneorder.Orders,
 	log *zap.Logger,
 ) *operator.Handler {
-	return operator.New(set.Operators.Key, set.Entry.AvailabilityZone, sto, inv, tab, mbs, rol, met, orderZone(pst, inv), log)
+	return operator.New(set.Operators.Key, set.Entry.AvailabilityZone, sto, inv, tab, mbs, rol, met, ord.Order, log)
 }
 
 func newRollout(msh *peer.Mesh, sto *generation.Store, inv *inventory.Inventory) *rollout.Rollout {
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -34,6 +34,7 @@
 	newProber,
 	newLease,
 	newController,
+	newZoneOrders,
 	newDispatcher,
 	newServiceCaller,
 	newWorkspaces,
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -14,12 +14,8 @@
 	"github.com/cumintally/cumintally/internal/platform"
 )
 
-const (
-	// retryDelay spaces attempts to reach a platform that is out.
-	retryDelay = 500 * time.Millisecond
-	// listInterval is the time between two reads of the platform's list of VMs.
-	listInterval = time.Second
-)
+// listInterval is the time between two reads of the platform's list of VMs.
+const listInterval = time.Second
 
 // Zone is the object Zone/<name>: whether operators have taken the availability zone out of service.
 type Zone struct {
@@ -74,32 +70,6 @@
 	}
 }
 
-// Follow hands each object of a kind and each later change of it to take, until ctx ends.
-func (inv *Inventory) Follow(ctx context.Context, kind string, take func(ctx context.Context, obj platform.Object)) {
-	var rev uint64
-	listed := false
-	for ctx.Err() == nil {
-		var objs []platform.Object
-		var next uint64
-		var err error
-		if listed {
-			objs, next, err = inv.pst.Watch(ctx, kind, rev)
-		} else {
-			objs, next, err = inv.pst.List(ctx, kind)
-		}
-		if err != nil {
-			inv.log.Debug("cannot read from the platform", zap.String("kind", kind), zap.Error(err))
-			inv.wait(ctx, retryDelay)
-			continue
-		}
-		listed = true
-		rev = next
-		for _, obj := range objs {
-			take(ctx, obj)
-		}
-	}
-}
-
 // FollowVMs reads the platform's list of VMs until ctx ends.
 func (inv *Inventory) FollowVMs(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -178,6 +148,22 @@
 	return true
 }
 
+// OrderZone makes an order that was not written to the platform the newest state of a zone known here. It
+// takes the version and keeps the order in one step, so that of two orders that race through the zone's
+// daemons one learns of the other.
+func (inv *Inventory) OrderZone(name string, out bool, writer string) Zone {
+	inv.mu.Lock()
+	defer inv.mu.Unlock()
+	zon := Zone{
+		Name:    name,
+		Out:     out,
+		Version: inv.zones[name].Version + 1,
+		Writer:  writer,
+	}
+	inv.zones[name] = zon
+	return zon
+}
+
 // Unwritten reports whether the state of a zone is an order that the platform is not known to hold.
 func (inv *Inventory) Unwritten(name string) bool {
 	inv.mu.RLock()
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -121,7 +121,7 @@
 
 func errorStatus(err error) int {
 	switch {
-	case errors.Is(err, generation.ErrConflict):
+	case errors.Is(err, generation.ErrConflict), errors.Is(err, platform.ErrConflict):
 		return http.StatusConflict
 	case errors.Is(err, generation.ErrNotTried):
 		return http.StatusUnprocessableEntity
