--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -1,11 +1,8 @@
 package fleet
 
 import (
-	"fmt"
 	"os"
 	"os/exec"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -98,32 +95,6 @@
 	}
 }
 
-// clockTick is the unit of the CPU times in /proc on Linux, which is the same on all architectures.
-const clockTick = 10 * time.Millisecond
-
-// CPUTime returns the CPU time that the process has used so far.
-func (prc *Process) CPUTime() (time.Duration, error) {
-	prc.mu.Lock()
-	pid := prc.cmd.Process.Pid
-	prc.mu.Unlock()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, errors.Trace(err)
-	}
-	// The fields after the name, which may hold spaces, begin with the third; 14 and 15 are the CPU times.
-	_, rest, _ := strings.Cut(string(data), ") ")
-	flds := strings.Fields(rest)
-	if len(flds) < 13 {
-		return 0, errors.NotValidf("/proc/%d/stat", pid)
-	}
-	user, err := strconv.ParseInt(flds[11], 10, 64)
-	if err != nil {
-		return 0, errors.Trace(err)
-	}
-	system, err := strconv.ParseInt(flds[12], 10, 64)
-	return time.Duration(user+system) * clockTick, errors.Trace(err)
-}
-
 // Restart starts the process again after it has ended.
 func (prc *Process) Restart() error {
 	return prc.start()
--- a/internal/standin/verb/relay.go
+++ b/internal/standin/verb/relay.go
@@ -126,7 +126,7 @@
 		return errors.Trace(err)
 	}
 	ent := flt.Entries[0]
-	before, err := ent.CPUTime()
+	before, err := ent.Usage()
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -134,11 +134,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	after, err := ent.CPUTime()
+	after, err := ent.Usage()
 	if err != nil {
 		return errors.Trace(err)
 	}
-	used := after - before
+	used := after.Processor - before.Processor
 	fmt.Printf("seed %d, %d streams, %d tokens/s wanted\n", seed, opt.streams, opt.rate)
 	fmt.Printf("direct:  %.0f tokens/s, token delay p50 %v, p95 %v, p99 %v\n", direct.TokensPerSec, direct.Delay.P50, direct.Delay.P95, direct.Delay.P99)
 	fmt.Printf("relayed: %.0f tokens/s, token delay p50 %v, p95 %v, p99 %v\n", relayed.TokensPerSec, relayed.Delay.P50, relayed.Delay.P95, relayed.Delay.P99)
