--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,7 @@
 	Peers     Peers
 	Operators Operators
 	Requests  Requests
+	Bookings  Bookings
 	Control   Control
 	Log       Log
 }
@@ -67,6 +68,14 @@
 	DrainTimeout time.Duration
 }
 
+// Bookings bounds the records of idempotency keys.
+type Bookings struct {
+	Buckets        int
+	BatchTime      time.Duration
+	ReserveTimeout time.Duration
+	MaxResultSize  int
+}
+
 // Control holds the intervals and bounds of the control loops.
 type Control struct {
 	ProbeInterval  time.Duration
