Send calls of services over a gated connection of their own

A call that may not be repeated was classified by the error of net/http alone: a deadline during the dial counted as sent, a response over 8 MB was cut without a word, an escaped path was decoded on the way, and a call whose caller went away was broken off in the middle. An error with the gate shut is not run for certain. Backend servers of a zone that is out get no calls.

Decided here: a call whose caller goes away before the first byte is not sent; after it, it runs to its end and its result is kept. Calls that the document lets be repeated need no record.

Reviewed and found safe in net/http on a fresh connection: its own repetition needs a reused connection, RoundTrip follows no redirect, the caller's Expect header is not forwarded and 1xx responses are skipped.

--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
@@ -24,7 +25,7 @@
 		Workspace:      wsp.Name,
 		Service:        chi.URLParam(req, "service"),
 		Method:         req.Method,
-		Path:           "/" + chi.URLParam(req, "*"),
+		Path:           strings.TrimPrefix(req.URL.EscapedPath(), "/services/"+chi.URLParam(req, "service")),
 		Query:          req.URL.RawQuery,
 		ContentType:    req.Header.Get("Content-Type"),
 		IdempotencyKey: req.Header.Get("Idempotency-Key"),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"go.uber.org/dig"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/booking"
 	"github.com/cumintally/cumintally/internal/caller"
 	"github.com/cumintally/cumintally/internal/controller"
 	"github.com/cumintally/cumintally/internal/gossip"
@@ -45,6 +46,7 @@
 	Prober     *probe.Prober
 	Controller *controller.Controller
 	Caller     *caller.Handler
+	Ledger     *booking.Ledger
 	Operator   *operator.Handler
 }
 
@@ -103,6 +105,7 @@
 	stopControl()
 	ent.dep.Membership.Leave(drain)
 	ent.dep.Caller.Drain(drain)
+	ent.dep.Ledger.Drain(drain)
 	for _, srv := range servers {
 		_ = srv.Shutdown(drain)
 	}
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -35,6 +35,7 @@
 	newLease,
 	newController,
 	newDispatcher,
+	newLedger,
 	newServiceCaller,
 	newWorkspaces,
 	newCaller,
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -1,19 +1,74 @@
 package entry
 
 import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/booking"
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/inventory"
+	"github.com/cumintally/cumintally/internal/peer"
 	"github.com/cumintally/cumintally/internal/platform"
 	"github.com/cumintally/cumintally/internal/servicecall"
 	"github.com/cumintally/cumintally/internal/settings"
+	"github.com/cumintally/cumintally/internal/zone"
 )
 
-func newServiceCaller(set *settings.Settings, inv *inventory.Inventory, sto *generation.Store, log *zap.Logger) *servicecall.Caller {
+// keepResultsFor is the time for which the result of a keyed call is kept, as callers are promised.
+const keepResultsFor = 24 * time.Hour
+
+func newLedger(
+	set *settings.Settings,
+	pst platform.Store,
+	msh *peer.Mesh,
+	mbs *zone.Membership,
+	clk clockwork.Clock,
+	met metrics.Registry,
+	log *zap.Logger,
+) *booking.Ledger {
+	cfg := booking.Config{
+		Buckets:        set.Bookings.Buckets,
+		BatchTime:      set.Bookings.BatchTime,
+		ReserveTimeout: set.Bookings.ReserveTimeout,
+		MaxResultSize:  set.Bookings.MaxResultSize,
+		KeepFor:        keepResultsFor,
+	}
+	prs := booking.Peers{
+		Self:  msh.Self().Name,
+		Owner: mbs.Owner,
+		Call:  msh.Call,
+	}
+	led := booking.New(cfg, pst, prs, clk, met, log)
+	msh.Handle(booking.Kind, led.Answer)
+	return led
+}
+
+func newServiceCaller(
+	set *settings.Settings,
+	inv *inventory.Inventory,
+	sto *generation.Store,
+	led *booking.Ledger,
+	clk clockwork.Clock,
+	log *zap.Logger,
+) *servicecall.Caller {
+	// A backend server in a zone that operators have taken out of service gets no new calls.
 	vms := func() []platform.VM {
 		all, _ := inv.VMs()
-		return all
+		var use []platform.VM
+		for _, vmc := range all {
+			if !inv.Zone(vmc.AvailabilityZone).Out {
+				use = append(use, vmc)
+			}
+		}
+		return use
+	}
+	keys := servicecall.Ledger{
+		Reserve: led.Reserve,
+		Finish:  led.Finish,
+		Release: led.Release,
 	}
-	return servicecall.New(set.Entry.AvailabilityZone, vms, documentInForce(sto), log)
+	return servicecall.New(set.Entry.AvailabilityZone, keys, vms, documentInForce(sto), clk, log)
 }
--- a/internal/servicecall/caller.go
+++ b/internal/servicecall/caller.go
@@ -1,38 +1,40 @@
 package servicecall
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"path"
 	"strings"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/backend"
+	"github.com/cumintally/cumintally/internal/booking"
 	"github.com/cumintally/cumintally/internal/platform"
 	"github.com/cumintally/cumintally/internal/refusal"
 	"github.com/cumintally/cumintally/pkg/document"
 )
 
 const (
-	// maxAnswerSize is the largest answer of a service in bytes that is passed on.
+	// maxAnswerSize is the largest response of a service in bytes that is passed on.
 	maxAnswerSize = 8 << 20
-	// maxAttempts is the number of backend servers that a repeatable call may be sent to.
+	// maxAttempts is the number of backend servers that a call is tried at.
 	maxAttempts = 3
-	// comeBack is the time to come back given when no backend server can take a call.
+	// comeBack is the Retry-After of a rejection when nothing tells a better time.
 	comeBack = time.Second
 )
 
 // Request is a call of a plain service.
 type Request struct {
-	RequestID      string
-	Workspace      string
-	Service        string
-	Method         string
+	RequestID string
+	Workspace string
+	Service   string
+	Method    string
+	// Path and Query are as escaped in the URL.
 	Path           string
 	Query          string
 	ContentType    string
@@ -48,27 +50,32 @@
 	Body        []byte
 }
 
+// Ledger keeps the idempotency keys, as function fields so that tests can replace each one.
+type Ledger struct {
+	Reserve func(ctx context.Context, scope, key string, fingerprint []byte) (booking.Reservation, error)
+	Finish  func(rsv booking.Reservation, status int, contentType string, body []byte)
+	Release func(rsv booking.Reservation)
+}
+
 // Caller sends calls to the backend servers of plain services.
 type Caller struct {
 	zone    string
-	htc     *http.Client
+	led     Ledger
+	rdy     *readiness
+	clk     clockwork.Clock
 	log     *zap.Logger
 	vms     func() []platform.VM
 	inForce func() *document.Document
 }
 
-// New returns a caller that prefers backend servers of the given availability zone.
-func New(zone string, vms func() []platform.VM, inForce func() *document.Document, log *zap.Logger) *Caller {
+// New returns a caller that prefers backend servers of the given availability zone; vms returns the VMs
+// that may get work.
+func New(zone string, led Ledger, vms func() []platform.VM, inForce func() *document.Document, clk clockwork.Clock, log *zap.Logger) *Caller {
 	return &Caller{
-		zone: zone,
-		// A new connection for each call: net/http sends a call on a reused connection a second time by
-		// itself when it has an Idempotency-Key or no body and the connection breaks.
-		htc: &http.Client{
-			Transport: &http.Transport{
-				DisableKeepAlives: true,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
+		zone:    zone,
+		led:     led,
+		rdy:     newReadiness(clk),
+		clk:     clk,
 		log:     log.Named("servicecall"),
 		vms:     vms,
 		inForce: inForce,
@@ -83,78 +90,114 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	return cal.send(ctx, req, repeatable(svc, req))
+	switch {
+	case repeatable(svc, req):
+		return cal.callRepeatable(ctx, req)
+	case req.IdempotencyKey != "":
+		return cal.callKeyed(ctx, req)
+	default:
+		return cal.callOnce(ctx, req)
+	}
 }
 
-func (cal *Caller) send(ctx context.Context, req Request, repeat bool) (Answer, error) {
-	adrs := cal.addresses(req.Service)
+// callRepeatable tries backend servers until one answers.
+func (cal *Caller) callRepeatable(ctx context.Context, req Request) (Answer, error) {
 	sent := false
-	for idx, adr := range adrs {
-		if idx == maxAttempts || ctx.Err() != nil {
-			break
-		}
-		ans, err := cal.sendTo(ctx, adr, req)
+	for _, adr := range cal.addresses(req.Service) {
+		ans, err := cal.sendTo(ctx, ctx, adr, req)
 		if err == nil {
 			return ans, nil
 		}
-		cal.log.Warn("a backend server failed a call",
-			zap.String("request", req.RequestID),
-			zap.String("service", req.Service),
-			zap.String("address", adr),
-			zap.Error(err),
-		)
-		if errors.Is(err, backend.ErrNotSent) {
-			continue
-		}
-		sent = true
-		if !repeat {
+		sent = sent || !errors.Is(err, backend.ErrNotSent)
+		if ctx.Err() != nil {
 			break
 		}
 	}
 	if sent {
 		return Answer{}, refusal.UnknownOutcome("the backend server did not answer", comeBack)
 	}
-	return Answer{}, refusal.Unavailable("no backend server of "+req.Service+" can take the call", comeBack)
+	return Answer{}, unavailable(req)
 }
 
-func (cal *Caller) sendTo(ctx context.Context, adr string, req Request) (Answer, error) {
-	url := "http://" + adr + req.Path
-	if req.Query != "" {
-		url += "?" + req.Query
+// callOnce tries backend servers until a byte has gone out to one of them.
+func (cal *Caller) callOnce(ctx context.Context, req Request) (Answer, error) {
+	// The caller may go away after the first byte; the call then still runs to its end.
+	run, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
+	defer cancel()
+	for _, adr := range cal.addresses(req.Service) {
+		if ctx.Err() != nil {
+			break
+		}
+		ans, err := cal.sendTo(ctx, run, adr, req)
+		if err == nil {
+			return ans, nil
+		}
+		if errors.Is(err, errAnswerTooLarge) {
+			return Answer{}, refusal.New(refusal.Unknown, http.StatusBadGateway, "Response too large",
+				"the call ran, but its response is too large to pass on", 0)
+		}
+		if !errors.Is(err, backend.ErrNotSent) {
+			return Answer{}, refusal.UnknownOutcome("the backend server did not answer; the call is not sent again", comeBack)
+		}
 	}
-	hrq, err := http.NewRequestWithContext(ctx, req.Method, url, bytes.NewReader(req.Body))
-	if err != nil {
+	return Answer{}, unavailable(req)
+}
+
+func unavailable(req Request) *refusal.Refusal {
+	return refusal.Unavailable("no backend server of "+req.Service+" can take the call", comeBack)
+}
+
+// sendTo sends a call to one backend server. The call starts only while ask lives and is given up when
+// run ends.
+func (cal *Caller) sendTo(ask, run context.Context, adr string, req Request) (Answer, error) {
+	if err := cal.rdy.ask(ask, adr); err != nil {
 		return Answer{}, errors.Annotate(backend.ErrNotSent, err.Error())
 	}
-	hrq.GetBody = nil
-	if req.ContentType != "" {
-		hrq.Header.Set("Content-Type", req.ContentType)
-	}
-	if req.IdempotencyKey != "" {
-		hrq.Header.Set("Idempotency-Key", req.IdempotencyKey)
+	gat := &gate{
+		check: func() error { return cal.mayStart(ask, adr, req) },
 	}
-	hrq.Header.Set("X-Request-Id", req.RequestID)
-	res, err := cal.htc.Do(hrq)
+	ans, err := send(ask, run, gat, adr, req)
 	if err != nil {
-		return Answer{}, errors.Annotate(backend.SendError(err), err.Error())
+		cal.log.Warn("a backend server failed a call",
+			zap.String("request", req.RequestID),
+			zap.String("service", req.Service),
+			zap.String("address", adr),
+			zap.Error(err),
+		)
 	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerSize))
-	if err != nil {
-		return Answer{}, errors.Annotate(backend.ErrBroken, err.Error())
+	return ans, err
+}
+
+// mayStart is asked at the moment of sending: the process may have been paused since the choice was made.
+func (cal *Caller) mayStart(ask context.Context, adr string, req Request) error {
+	if err := ask.Err(); err != nil {
+		return err
 	}
-	return Answer{
-		Status:      res.StatusCode,
-		ContentType: res.Header.Get("Content-Type"),
-		Body:        body,
-	}, nil
+	if !cal.clk.Now().Before(req.Deadline) {
+		return context.DeadlineExceeded
+	}
+	for _, vmc := range cal.vms() {
+		if vmc.Address == adr && takesCalls(vmc, req.Service) {
+			return cal.rdy.current(adr)
+		}
+	}
+	return errors.Errorf("%s is no longer in service", adr)
+}
+
+func takesCalls(vmc platform.VM, service string) bool {
+	return vmc.Role == platform.RoleService && vmc.Service == service && vmc.State == platform.VMLive
 }
 
-// addresses returns the live backend servers of a service, those of the own zone first, else in random order.
+// addresses returns up to maxAttempts backend servers of a service, those of the own zone first, else in
+// random order.
 func (cal *Caller) addresses(service string) []string {
 	var near, far []string
+	listed := map[string]bool{}
 	for _, vmc := range cal.vms() {
-		if vmc.Role != platform.RoleService || vmc.Service != service || vmc.State != platform.VMLive {
+		if vmc.Role == platform.RoleService {
+			listed[vmc.Address] = true
+		}
+		if !takesCalls(vmc, service) {
 			continue
 		}
 		if vmc.AvailabilityZone == cal.zone {
@@ -163,9 +206,11 @@
 			far = append(far, vmc.Address)
 		}
 	}
+	cal.rdy.keep(listed)
 	rand.Shuffle(len(near), func(fst, snd int) { near[fst], near[snd] = near[snd], near[fst] })
 	rand.Shuffle(len(far), func(fst, snd int) { far[fst], far[snd] = far[snd], far[fst] })
-	return append(near, far...)
+	adrs := append(near, far...)
+	return adrs[:min(maxAttempts, len(adrs))]
 }
 
 func (cal *Caller) service(name string) (document.Service, bool) {
@@ -179,6 +224,10 @@
 
 // repeatable reports whether the document lets a call be repeated; a call that matches no rule may not be.
 func repeatable(svc document.Service, req Request) bool {
+	// The service may read an escaped or dotted path as another path than the rule means.
+	if strings.Contains(req.Path, "%") || path.Clean(req.Path) != req.Path {
+		return false
+	}
 	for _, rul := range svc.Calls {
 		prefix, wild := strings.CutSuffix(rul.Path, "*")
 		if rul.Method == req.Method && (rul.Path == req.Path || (wild && strings.HasPrefix(req.Path, prefix))) {
--- /dev/null
+++ b/internal/servicecall/send.go
@@ -0,0 +1,98 @@
+package servicecall
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cumintally/cumintally/internal/backend"
+)
+
+const (
+	// errAnswerTooLarge says that the call ran and its response exceeds maxAnswerSize.
+	errAnswerTooLarge = errors.ConstError("servicecall: response too large")
+	// dialTimeout bounds the wait for a backend server that is gone without a trace.
+	dialTimeout = 500 * time.Millisecond
+)
+
+// send makes a connection while ask lives and runs one call over it until run ends. ErrNotSent says that
+// the gate stayed shut, so that no byte of the call has left or will leave this process.
+func send(ask, run context.Context, gat *gate, adr string, req Request) (Answer, error) {
+	hrq, err := newHTTPRequest(run, adr, req)
+	if err != nil {
+		return Answer{}, errors.Annotate(backend.ErrNotSent, err.Error())
+	}
+	dlr := net.Dialer{
+		Timeout: dialTimeout,
+	}
+	con, err := dlr.DialContext(ask, "tcp", adr)
+	if err != nil {
+		return Answer{}, errors.Annotate(backend.ErrNotSent, err.Error())
+	}
+	defer func() { _ = con.Close() }()
+	res, err := transport(gatedConn{
+		Conn: con,
+		gat:  gat,
+	}).RoundTrip(hrq)
+	if err != nil {
+		if gat.shut(err) {
+			return Answer{}, errors.Annotate(backend.ErrNotSent, err.Error())
+		}
+		return Answer{}, errors.Annotate(backend.ErrBroken, err.Error())
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerSize+1))
+	if err != nil {
+		return Answer{}, errors.Annotate(backend.ErrBroken, err.Error())
+	}
+	if len(body) > maxAnswerSize {
+		return Answer{}, errors.Trace(errAnswerTooLarge)
+	}
+	return Answer{
+		Status:      res.StatusCode,
+		ContentType: res.Header.Get("Content-Type"),
+		Body:        body,
+	}, nil
+}
+
+// transport returns a transport that has only the given connection: net/http sends a call on a reused
+// connection again by itself when the connection breaks and the call has an Idempotency-Key or no body.
+func transport(con net.Conn) *http.Transport {
+	used := false
+	return &http.Transport{
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		DialContext: func(context.Context, string, string) (net.Conn, error) {
+			if used {
+				return nil, errors.Annotate(backend.ErrBroken, "the connection of this call is used up")
+			}
+			used = true
+			return con, nil
+		},
+	}
+}
+
+func newHTTPRequest(ctx context.Context, adr string, req Request) (*http.Request, error) {
+	url := "http://" + adr + req.Path
+	if req.Query != "" {
+		url += "?" + req.Query
+	}
+	hrq, err := http.NewRequestWithContext(ctx, req.Method, url, bytes.NewReader(req.Body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	hrq.GetBody = nil
+	if req.ContentType != "" {
+		hrq.Header.Set("Content-Type", req.ContentType)
+	}
+	if req.IdempotencyKey != "" {
+		hrq.Header.Set("Idempotency-Key", req.IdempotencyKey)
+	}
+	hrq.Header.Set("X-Request-Id", req.RequestID)
+	return hrq, nil
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,29 +19,40 @@
 	Delay time.Duration
 	// DropAnswers breaks the connection after a booking ran.
 	DropAnswers bool
+	// DropCalls breaks the connection before a booking runs, but after it has arrived.
+	DropCalls bool
+	// Leaving says on /readyz that the server takes no more calls; bookings that still arrive run and are counted.
+	Leaving bool
+	// AnswerSize is the least size in bytes of the answer to a booking.
+	AnswerSize int
 }
 
 // Service is one backend server of a plain service.
 type Service struct {
 	flt *fault.Switch[Faults]
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu       sync.Mutex
+	runs     map[string]int
+	requests map[string]int
 }
 
 // New returns a service that has run no booking.
 func New() *Service {
 	return &Service{
-		flt:  fault.New(Faults{}),
-		runs: map[string]int{},
+		flt:      fault.New(Faults{}),
+		runs:     map[string]int{},
+		requests: map[string]int{},
 	}
 }
 
-// Handler returns the service's calls, and beside them /faults and /runs for tests.
+// Handler returns the service's calls, and beside them /faults, /runs and /requests for tests: how often
+// each booking ran, and how often each request ran a booking.
 func (svc *Service) Handler() http.Handler {
 	rtr := chi.NewRouter()
 	rtr.Handle("/faults", svc.flt)
-	rtr.Get("/runs", svc.showRuns)
+	rtr.Get("/runs", svc.show(svc.runs))
+	rtr.Get("/requests", svc.show(svc.requests))
+	rtr.Get("/readyz", svc.ready)
 	rtr.Post("/bookings", svc.book)
 	rtr.Get("/batches/{id}", svc.batch)
 	return rtr
@@ -55,6 +67,7 @@
 type Receipt struct {
 	Reference string
 	Run       int
+	Filler    string `json:",omitempty"`
 }
 
 func (svc *Service) book(rsw http.ResponseWriter, req *http.Request) {
@@ -65,7 +78,11 @@
 	}
 	flt := svc.flt.Get()
 	time.Sleep(flt.Delay)
+	if flt.DropCalls {
+		panic(http.ErrAbortHandler)
+	}
 	svc.mu.Lock()
+	svc.requests[req.Header.Get("X-Request-Id")]++
 	svc.runs[bkg.Reference]++
 	run := svc.runs[bkg.Reference]
 	svc.mu.Unlock()
@@ -77,17 +94,28 @@
 	_ = json.NewEncoder(rsw).Encode(Receipt{
 		Reference: bkg.Reference,
 		Run:       run,
+		Filler:    strings.Repeat("x", flt.AnswerSize),
 	})
 }
 
+func (svc *Service) ready(rsw http.ResponseWriter, _ *http.Request) {
+	if svc.flt.Get().Leaving {
+		rsw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	rsw.WriteHeader(http.StatusNoContent)
+}
+
 func (svc *Service) batch(rsw http.ResponseWriter, req *http.Request) {
 	rsw.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(rsw).Encode(map[string]string{"Batch": chi.URLParam(req, "id"), "Status": "polishing"})
 }
 
-func (svc *Service) showRuns(rsw http.ResponseWriter, _ *http.Request) {
-	svc.mu.Lock()
-	defer svc.mu.Unlock()
-	rsw.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(rsw).Encode(svc.runs)
+func (svc *Service) show(counts map[string]int) http.HandlerFunc {
+	return func(rsw http.ResponseWriter, _ *http.Request) {
+		svc.mu.Lock()
+		defer svc.mu.Unlock()
+		rsw.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(rsw).Encode(counts)
+	}
 }
