--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -36,6 +36,7 @@
 	newController,
 	newZoneOrders,
 	newDispatcher,
+	newLedger,
 	newServiceCaller,
 	newWorkspaces,
 	newCaller,
