--- a/internal/generation/operations.go
+++ b/internal/generation/operations.go
@@ -24,16 +24,30 @@
 // Trial is the object Trial/<digest>: the result of a trial.
 type Trial struct {
 	Digest string
+	// Passed says that every part passed.
+	Passed  bool
+	Parts   []PartReference
+	Results []PartResult
+}
+
+// PartResult is the result of one part of a document.
+type PartResult struct {
+	Name   string
 	Passed bool
-	Parts  []PartReference
+	Reason string
 }
 
-// Try stores the parts of a document and records its trial.
-func (sto *Store) Try(ctx context.Context, doc *document.Document) (Trial, error) {
+// Try stores the parts of a document and records the results of its trial. A later trial of the same
+// document replaces the record.
+func (sto *Store) Try(ctx context.Context, doc *document.Document, ress []PartResult) (Trial, error) {
 	pts := doc.Parts()
 	trl := Trial{
-		Digest: document.Digest(pts),
-		Passed: true,
+		Digest:  document.Digest(pts),
+		Passed:  true,
+		Results: ress,
+	}
+	for _, res := range ress {
+		trl.Passed = trl.Passed && res.Passed
 	}
 	for _, prt := range pts {
 		_, err := sto.pst.Put(ctx, platform.KindPart, prt.Digest, 0, prt.Value)
@@ -46,15 +60,20 @@
 			Digest: prt.Digest,
 		})
 	}
+	return trl, sto.record(ctx, trl)
+}
+
+func (sto *Store) record(ctx context.Context, trl Trial) error {
 	val, err := json.Marshal(trl)
 	if err != nil {
-		return Trial{}, errors.Trace(err)
+		return errors.Trace(err)
 	}
-	_, err = sto.pst.Put(ctx, platform.KindTrial, trl.Digest, 0, val)
-	if err != nil && !errors.Is(err, platform.ErrConflict) {
-		return Trial{}, errors.Trace(err)
+	old, err := sto.pst.Get(ctx, platform.KindTrial, trl.Digest)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return errors.Trace(err)
 	}
-	return trl, nil
+	_, err = sto.pst.Put(ctx, platform.KindTrial, trl.Digest, old.Version, val)
+	return errors.Trace(err)
 }
 
 // Promote accepts the document with a digest that passed its trial, in place of generation replaces.
--- a/internal/generation/store_test.go
+++ b/internal/generation/store_test.go
@@ -46,7 +46,7 @@
 
 // promote proves and accepts a document.
 func promote(ctx context.Context, sto *generation.Store, doc *document.Document, replaces uint64) (generation.Head, error) {
-	trl, err := sto.Try(ctx, doc)
+	trl, err := sto.Try(ctx, doc, nil)
 	if err != nil {
 		return generation.Head{}, err
 	}
@@ -162,6 +162,27 @@
 	c.Assert(errors.Is(err, generation.ErrNotTried), qt.IsTrue)
 }
 
+// TestFailedTrial guards against a promotion of a document whose trial failed, and against a failed
+// trial that can never be repeated.
+func TestFailedTrial(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	sto := newStore(standin.NewStore().Platform())
+	ress := []generation.PartResult{
+		{
+			Name:   "Groups/group-1",
+			Reason: "no VMs",
+		},
+	}
+	trl, err := sto.Try(ctx, newDocument(1), ress)
+	c.Assert(err, qt.IsNil)
+	c.Assert(trl.Passed, qt.IsFalse)
+	_, err = sto.Promote(ctx, trl.Digest, 0)
+	c.Assert(errors.Is(err, generation.ErrNotTried), qt.IsTrue, qt.Commentf("%v", err))
+	_, err = promote(ctx, sto, newDocument(1), 0)
+	c.Assert(err, qt.IsNil)
+}
+
 // TestDifferences guards against daemons that differ after exchanging differences from any base, in any
 // order, with old ones among them.
 func TestDifferences(t *testing.T) {
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/rollout"
+	"github.com/cumintally/cumintally/internal/trial"
 	"github.com/cumintally/cumintally/pkg/document"
 )
 
@@ -40,7 +41,7 @@
 		writeError(rsw, http.StatusUnprocessableEntity, err.Error())
 		return
 	}
-	trl, err := hnd.sto.Try(req.Context(), doc)
+	trl, err := hnd.sto.Try(req.Context(), doc, trial.Run(doc, hnd.inv.VMs()))
 	hnd.answer(rsw, trl, err)
 }
 
