Report how fast the error budgets of service levels burn

Counts of the last hour by service level, model, workspace and zone, gathered from the daemons that answer; as text, JSON, or a page with plots. Group downtime and stranded VMs are sampled every second by one daemon of the zone. Requests are not counted yet.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,7 @@
 	Membership *zone.Membership
 	Gossip     *gossip.Gossip
 	Follower   *follower
+	Sampler    *sampler
 	Inventory  *inventory.Inventory
 	Prober     *probe.Prober
 	Controller *controller.Controller
@@ -127,6 +128,7 @@
 	wgr.Go(func() { ent.dep.ZoneOrders.Run(ctx) })
 	wgr.Go(func() { fol.followVMs(ctx) })
 	wgr.Go(func() { fol.settle(ctx) })
+	wgr.Go(func() { ent.dep.Sampler.run(ctx) })
 	for _, kind := range []string{platform.KindAllocation, platform.KindZone, platform.KindDocument} {
 		wgr.Go(func() { fol.follow(ctx, kind) })
 	}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -3,8 +3,10 @@
 import (
 	"github.com/jonboulle/clockwork"
 	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/dig"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/burn"
 	"github.com/cumintally/cumintally/internal/evidence"
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/inventory"
@@ -13,6 +15,7 @@
 	"github.com/cumintally/cumintally/internal/platform"
 	"github.com/cumintally/cumintally/internal/rollout"
 	"github.com/cumintally/cumintally/internal/settings"
+	"github.com/cumintally/cumintally/internal/survey"
 	"github.com/cumintally/cumintally/internal/zone"
 	"github.com/cumintally/cumintally/internal/zoneorder"
 )
@@ -53,24 +56,37 @@
 	return ord
 }
 
-func newOperator(
-	set *settings.Settings,
-	sto *generation.Store,
-	inv *inventory.Inventory,
-	tab *evidence.Table,
-	mbs *zone.Membership,
-	rol *rollout.Rollout,
-	met metrics.Registry,
-	ord *zoneorder.Orders,
-	log *zap.Logger,
-) *operator.Handler {
-	return operator.New(set.Operators.Key, set.Entry.AvailabilityZone, sto, inv, tab, mbs, rol, met, ord.Order, log)
+// operatorParts are the parts that the operators' interface needs.
+type operatorParts struct {
+	dig.In
+
+	Settings   *settings.Settings
+	Store      *generation.Store
+	Inventory  *inventory.Inventory
+	Table      *evidence.Table
+	Membership *zone.Membership
+	Rollout    *rollout.Rollout
+	Orders     *zoneorder.Orders
+	Burn       *survey.Survey[[]burn.Series]
+	Metrics    metrics.Registry
+	Clock      clockwork.Clock
+	Log        *zap.Logger
 }
 
-func newRollout(msh *peer.Mesh, sto *generation.Store, inv *inventory.Inventory) *rollout.Rollout {
-	vms := func() []platform.VM {
-		all := inv.VMs()
-		return all
+func newOperator(dep operatorParts) *operator.Handler {
+	cfg := operator.Config{
+		Key:              dep.Settings.Operators.Key,
+		AvailabilityZone: dep.Settings.Entry.AvailabilityZone,
+	}
+	sea := operator.Seams{
+		Daemons:   dep.Membership.Alive,
+		OrderZone: dep.Orders.Order,
+		Rollout:   dep.Rollout.Zones,
+		Burn:      burnReport(dep.Burn, dep.Store, dep.Clock),
 	}
-	return rollout.New(msh, sto, vms)
+	return operator.New(cfg, sea, dep.Store, dep.Inventory, dep.Table, dep.Metrics, dep.Log)
+}
+
+func newRollout(msh *peer.Mesh, sto *generation.Store, inv *inventory.Inventory) *rollout.Rollout {
+	return rollout.New(msh, sto, inv.VMs)
 }
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -41,6 +41,9 @@
 	newWorkspaces,
 	newCaller,
 	newRollout,
+	newRecorder,
+	newBurnSurvey,
+	newSampler,
 	newOperator,
 }
 
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -67,7 +67,7 @@
 	}
 	sta.Accepted = hed.Generation
 	sta.Digest = hed.Digest
-	sta.Zones = hnd.rol.Zones(req.Context(), hed.Generation)
+	sta.Zones = hnd.sea.Rollout(req.Context(), hed.Generation)
 	sta.Complete = err == nil
 	for _, zon := range sta.Zones {
 		if len(zon.Behind)+len(zon.Unreachable) > 0 {
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -11,56 +11,66 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/burn"
 	"github.com/cumintally/cumintally/internal/evidence"
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/inventory"
+	"github.com/cumintally/cumintally/internal/peer"
 	"github.com/cumintally/cumintally/internal/platform"
 	"github.com/cumintally/cumintally/internal/rollout"
-	"github.com/cumintally/cumintally/internal/zone"
 )
 
 // maxOrderSize is the largest body in bytes of an operator's order.
 const maxOrderSize = 1 << 16
 
+// Config is what a handler is told once.
+type Config struct {
+	// Key is the operators' bearer key.
+	Key              string
+	AvailabilityZone string
+}
+
+// Seams are the calls that the handler makes on other parts.
+type Seams struct {
+	// Daemons returns the daemons of the zone that are alive.
+	Daemons func() []peer.Identity
+	// OrderZone takes a zone in or out of service.
+	OrderZone func(ctx context.Context, name string, out bool) (inventory.Zone, error)
+	// Rollout tells where a generation is in force.
+	Rollout func(ctx context.Context, gen uint64) []rollout.Zone
+	// Burn gathers the burn report.
+	Burn func(ctx context.Context) burn.Report
+}
+
 // Handler serves operators.
 type Handler struct {
-	key  string
-	zone string
-	sto  *generation.Store
-	inv  *inventory.Inventory
-	tab  *evidence.Table
-	mbs  *zone.Membership
-	rol  *rollout.Rollout
-	met  metrics.Registry
-	log  *zap.Logger
-	// orderZone takes a zone in or out of service.
-	orderZone func(ctx context.Context, name string, out bool) (inventory.Zone, error)
+	cfg Config
+	sea Seams
+	sto *generation.Store
+	inv *inventory.Inventory
+	tab *evidence.Table
+	met metrics.Registry
+	log *zap.Logger
 }
 
-// New returns a handler for operators who know key.
+// New returns a handler for operators.
 func New(
-	key string,
-	zone string,
+	cfg Config,
+	sea Seams,
 	sto *generation.Store,
 	inv *inventory.Inventory,
 	tab *evidence.Table,
-	mbs *zone.Membership,
-	rol *rollout.Rollout,
 	met metrics.Registry,
-	orderZone func(ctx context.Context, name string, out bool) (inventory.Zone, error),
 	log *zap.Logger,
 ) *Handler {
 	return &Handler{
-		key:       key,
-		zone:      zone,
-		sto:       sto,
-		inv:       inv,
-		tab:       tab,
-		mbs:       mbs,
-		rol:       rol,
-		met:       met,
-		log:       log.Named("operator"),
-		orderZone: orderZone,
+		cfg: cfg,
+		sea: sea,
+		sto: sto,
+		inv: inv,
+		tab: tab,
+		met: met,
+		log: log.Named("operator"),
 	}
 }
 
@@ -70,6 +80,7 @@
 	rtr.Use(hnd.authenticate)
 	rtr.Get("/metrics", hnd.metrics)
 	rtr.Get("/status", hnd.status)
+	rtr.Get("/report/burn", hnd.burnReport)
 	rtr.Get("/config/status", hnd.configStatus)
 	rtr.Get("/config/parts", hnd.configParts)
 	rtr.Post("/config/try", hnd.try)
@@ -80,7 +91,7 @@
 }
 
 func (hnd *Handler) authenticate(next http.Handler) http.Handler {
-	want := []byte("Bearer " + hnd.key)
+	want := []byte("Bearer " + hnd.cfg.Key)
 	return http.HandlerFunc(func(rsw http.ResponseWriter, req *http.Request) {
 		if subtle.ConstantTimeCompare([]byte(req.Header.Get("Authorization")), want) != 1 {
 			rsw.Header().Set("WWW-Authenticate", "Bearer")
@@ -102,7 +113,7 @@
 		writeError(rsw, http.StatusBadRequest, err.Error())
 		return
 	}
-	zon, err := hnd.orderZone(req.Context(), chi.URLParam(req, "name"), ord.Out)
+	zon, err := hnd.sea.OrderZone(req.Context(), chi.URLParam(req, "name"), ord.Out)
 	hnd.answer(rsw, zon, err)
 }
 
@@ -110,6 +121,10 @@
 	hnd.answer(rsw, hnd.inv.Zone(chi.URLParam(req, "name")), nil)
 }
 
+func (hnd *Handler) burnReport(rsw http.ResponseWriter, req *http.Request) {
+	hnd.answer(rsw, hnd.sea.Burn(req.Context()), nil)
+}
+
 func (hnd *Handler) answer(rsw http.ResponseWriter, val any, err error) {
 	if err != nil {
 		writeError(rsw, errorStatus(err), err.Error())
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -33,14 +33,14 @@
 	sta := Status{
 		Generation:       snp.Generation,
 		Digest:           snp.Digest,
-		AvailabilityZone: hnd.zone,
-		ZoneOut:          hnd.inv.Zone(hnd.zone).Out,
+		AvailabilityZone: hnd.cfg.AvailabilityZone,
+		ZoneOut:          hnd.inv.Zone(hnd.cfg.AvailabilityZone).Out,
 	}
-	for _, ide := range hnd.mbs.Alive() {
+	for _, ide := range hnd.sea.Daemons() {
 		sta.Daemons = append(sta.Daemons, ide.Name)
 	}
 	now := time.Now()
-	for _, alc := range hnd.inv.Allocations(hnd.zone) {
+	for _, alc := range hnd.inv.Allocations(hnd.cfg.AvailabilityZone) {
 		sta.Unmet = append(sta.Unmet, alc.Unmet...)
 		for _, grp := range alc.Groups {
 			rep, ok := hnd.tab.Complete(grp, now)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -3,27 +3,16 @@
 import (
 	"context"
 	"sort"
-	"sync"
-	"time"
 
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/peer"
 	"github.com/cumintally/cumintally/internal/platform"
-)
-
-const (
-	kindInForce = "InForce"
-	// askTimeout bounds one question, so that zones that are cut off do not delay the answer.
-	askTimeout = time.Second
-	// askLimit is the number of questions at once.
-	askLimit = 32
+	"github.com/cumintally/cumintally/internal/survey"
 )
 
 // Rollout asks daemons which generation they have in force.
 type Rollout struct {
-	msh *peer.Mesh
-	sto *generation.Store
-	vms func() []platform.VM
+	sur *survey.Survey[uint64]
 }
 
 // Zone says how far an availability zone has come.
@@ -37,77 +26,37 @@
 	Unreachable []string
 }
 
-type inForce struct {
-	Generation uint64
-}
-
 // New returns a rollout over the entry VMs that vms returns, and answers such questions of others.
 func New(msh *peer.Mesh, sto *generation.Store, vms func() []platform.VM) *Rollout {
-	rol := &Rollout{
-		msh: msh,
-		sto: sto,
-		vms: vms,
-	}
-	msh.Handle(kindInForce, func(context.Context, peer.Identity, []byte) (any, error) {
-		return rol.own(), nil
-	})
-	return rol
-}
-
-func (rol *Rollout) own() inForce {
-	return inForce{
-		Generation: rol.sto.InForce().Generation,
+	own := func() uint64 { return sto.InForce().Generation }
+	return &Rollout{
+		sur: survey.New("InForce", msh, vms, own),
 	}
 }
 
 // Zones asks every daemon for a generation and returns the zones by name.
 func (rol *Rollout) Zones(ctx context.Context, gen uint64) []Zone {
 	zones := map[string]*Zone{}
-	var mu sync.Mutex
-	var wgr sync.WaitGroup
-	slots := make(chan struct{}, askLimit)
-	for _, vmc := range rol.vms() {
-		if vmc.Role != platform.RoleEntry {
-			continue
-		}
-		slots <- struct{}{}
-		wgr.Go(func() {
-			defer func() { <-slots }()
-			has, err := rol.ask(ctx, vmc)
-			mu.Lock()
-			defer mu.Unlock()
-			zon, ok := zones[vmc.AvailabilityZone]
-			if !ok {
-				zon = &Zone{
-					Name: vmc.AvailabilityZone,
-				}
-				zones[vmc.AvailabilityZone] = zon
-			}
-			switch {
-			case err != nil:
-				zon.Unreachable = append(zon.Unreachable, vmc.Name)
-			case has.Generation < gen:
-				zon.Behind = append(zon.Behind, vmc.Name)
-			default:
-				zon.InForce++
+	for _, ans := range rol.sur.Ask(ctx) {
+		zon, ok := zones[ans.VM.AvailabilityZone]
+		if !ok {
+			zon = &Zone{
+				Name: ans.VM.AvailabilityZone,
 			}
-		})
+			zones[zon.Name] = zon
+		}
+		switch {
+		case ans.Err != nil:
+			zon.Unreachable = append(zon.Unreachable, ans.VM.Name)
+		case ans.Value < gen:
+			zon.Behind = append(zon.Behind, ans.VM.Name)
+		default:
+			zon.InForce++
+		}
 	}
-	wgr.Wait()
 	return sorted(zones)
 }
 
-func (rol *Rollout) ask(ctx context.Context, vmc platform.VM) (inForce, error) {
-	if vmc.Name == rol.msh.Self().Name {
-		return rol.own(), nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	var has inForce
-	err := rol.msh.Call(ctx, vmc.Address, kindInForce, nil, &has)
-	return has, err
-}
-
 func sorted(zones map[string]*Zone) []Zone {
 	list := make([]Zone, 0, len(zones))
 	for _, zon := range zones {
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -10,6 +10,7 @@
 	newConfig,
 	newZone,
 	newStatus,
+	newReport,
 	newSettings,
 	newVersion,
 }
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -62,11 +62,30 @@
 	Priority int `yaml:"Priority" validate:"min=0,max=9"`
 }
 
+// Indicator is what a service level measures.
+type Indicator string
+
+// Indicators.
+const (
+	// IndicatorFirstToken compares the time to the first token of each request with the threshold.
+	IndicatorFirstToken Indicator = "FirstToken"
+	// IndicatorBetweenTokens compares the time between tokens with the threshold.
+	IndicatorBetweenTokens Indicator = "BetweenTokens"
+	// IndicatorAnswered counts requests with a whole answer.
+	IndicatorAnswered Indicator = "Answered"
+	// IndicatorGroupDowntime counts the seconds in which a group that the document asks for could get
+	// requests.
+	IndicatorGroupDowntime Indicator = "GroupDowntime"
+	// IndicatorStrandedVMs counts the seconds in which a VM with accelerators was in a serving group.
+	IndicatorStrandedVMs Indicator = "StrandedVMs"
+	// IndicatorZoneChange counts requests with a whole answer while a zone is out or has just returned.
+	IndicatorZoneChange Indicator = "ZoneChange"
+)
+
 // ServiceLevel is an objective that the burn report is measured against.
 type ServiceLevel struct {
-	Name string `yaml:"Name" validate:"required,hostname_rfc1123"`
-	// Indicator is what is measured.
-	Indicator string `yaml:"Indicator" validate:"required,oneof=FirstToken BetweenTokens Answered GroupDowntime ZoneChange"`
+	Name      string    `yaml:"Name" validate:"required,hostname_rfc1123"`
+	Indicator Indicator `yaml:"Indicator" validate:"required,oneof=FirstToken BetweenTokens Answered GroupDowntime StrandedVMs ZoneChange"`
 	// Threshold is a duration such as 1.2s for the indicators that compare times.
 	Threshold string `yaml:"Threshold"`
 	// Objective is the share of good events, such as 0.95.
