--- a/internal/controller/observer.go
+++ b/internal/controller/observer.go
@@ -27,8 +27,8 @@
 	// slowFor is the time for which a VM must be slow before it is replaced, so that a long prompt or a
 	// short disturbance costs no reload.
 	slowFor = 10 * time.Second
-	// slowMemory is the time for which a replaced straggler stays the last choice; an idle VM shows no
-	// step time, and without the memory two VMs would be swapped again and again.
+	// slowMemory is the time for which a replaced straggler stays the last choice: an idle VM shows
+	// no step time, and would else be taken for a healthy one.
 	slowMemory = 10 * time.Minute
 	// tickInterval is the time between two notes that this process runs.
 	tickInterval = 250 * time.Millisecond
--- /dev/null
+++ b/internal/evidence/table_test.go
@@ -0,0 +1,168 @@
+package evidence
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cumintally/cumintally/internal/backend"
+	"github.com/cumintally/cumintally/internal/group"
+)
+
+const maxAge = 1500 * time.Millisecond
+
+var (
+	start = time.Unix(1000, 0)
+	pair  = group.Group{
+		Name:    "a/0",
+		Fencing: 7,
+		Members: []group.Member{
+			{
+				VM: "vm-0",
+			},
+			{
+				VM: "vm-1",
+			},
+		},
+	}
+)
+
+func report(vm string, rank int) backend.Report {
+	return backend.Report{
+		VM:          vm,
+		Incarnation: 1,
+		Group:       "a/0",
+		Fencing:     7,
+		Rank:        rank,
+		State:       backend.StateReady,
+	}
+}
+
+// TestComplete guards against dispatch to a group of which a member is missing, old, in another place, or
+// not ready.
+func TestComplete(tst *testing.T) {
+	for _, cse := range []struct {
+		name   string
+		change func(rep *backend.Report)
+		age    time.Duration
+		absent bool
+		want   bool
+	}{
+		{
+			name: "all members confirmed",
+			want: true,
+		},
+		{
+			name: "at the bound",
+			age:  maxAge,
+			want: true,
+		},
+		{
+			name: "older than the bound",
+			age:  maxAge + 1,
+		},
+		{
+			name:   "never heard",
+			absent: true,
+		},
+		{
+			name:   "old fencing number",
+			change: func(rep *backend.Report) { rep.Fencing = 6 },
+		},
+		{
+			name:   "newer fencing number",
+			change: func(rep *backend.Report) { rep.Fencing = 8 },
+		},
+		{
+			name:   "other group",
+			change: func(rep *backend.Report) { rep.Group = "b/0" },
+		},
+		{
+			name:   "other rank",
+			change: func(rep *backend.Report) { rep.Rank = 0 },
+		},
+		{
+			name:   "loading",
+			change: func(rep *backend.Report) { rep.State = backend.StateLoading },
+		},
+		{
+			name:   "leaving",
+			change: func(rep *backend.Report) { rep.State = backend.StateLeaving },
+		},
+		{
+			name:   "restarted and idle",
+			change: func(rep *backend.Report) { *rep = backend.Report{VM: "vm-1", Incarnation: 2, State: backend.StateIdle} },
+		},
+	} {
+		tst.Run(cse.name, func(tst *testing.T) {
+			tab := New(maxAge)
+			now := start.Add(maxAge)
+			tab.Record(Entry{
+				Report: report("vm-0", 0),
+				AsOf:   now,
+			})
+			rep := report("vm-1", 1)
+			if cse.change != nil {
+				cse.change(&rep)
+			}
+			if !cse.absent {
+				tab.Record(Entry{
+					Report: rep,
+					AsOf:   now.Add(-cse.age),
+				})
+			}
+			lead, got := tab.Complete(pair, now)
+			qt.Assert(tst, got, qt.Equals, cse.want)
+			if got {
+				qt.Assert(tst, lead.VM, qt.Equals, "vm-0")
+			}
+		})
+	}
+}
+
+// TestOldReportDoesNotReturn guards against a report that a peer hands on late and that takes the place of
+// a younger one, or of one that was voided since a connection failed.
+func TestOldReportDoesNotReturn(tst *testing.T) {
+	tab := New(maxAge)
+	old := report("vm-0", 0)
+	young := old
+	young.Fencing = 8
+	tab.Record(Entry{
+		Report: young,
+		AsOf:   start,
+	})
+	tab.Record(Entry{
+		Report: old,
+		AsOf:   start.Add(-time.Second),
+	})
+	ent, _ := tab.Lookup("vm-0")
+	qt.Assert(tst, ent.Report.Fencing, qt.Equals, uint64(8))
+	tab.Forget("vm-0")
+	for _, rep := range []backend.Report{young, old} {
+		tab.Record(Entry{
+			Report: rep,
+			AsOf:   start,
+		})
+		_, ok := tab.Lookup("vm-0")
+		qt.Assert(tst, ok, qt.IsFalse)
+	}
+}
+
+// TestOnRestart guards against a restart that the limits do not hear of, also when the VM was forgotten
+// in between, and against one that is told twice.
+func TestOnRestart(tst *testing.T) {
+	tab := New(maxAge)
+	var told []uint64
+	tab.OnRestart = func(ent Entry) { told = append(told, ent.Report.Incarnation) }
+	for idx, inc := range []uint64{1, 1, 2, 2, 3} {
+		rep := report("vm-0", 0)
+		rep.Incarnation = inc
+		tab.Record(Entry{
+			Report: rep,
+			AsOf:   start.Add(time.Duration(idx) * time.Second),
+		})
+		tab.Forget("vm-0")
+	}
+	qt.Assert(tst, told, qt.DeepEquals, []uint64{2, 3})
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -34,6 +34,10 @@
 	pst      platform.Store
 	clk      clockwork.Clock
 
+	// calls keeps Acquire and Release apart: a renewal whose answer comes after a release would bring the
+	// lease back.
+	calls sync.Mutex
+
 	mu       sync.Mutex
 	held     bool
 	heldFrom time.Time
@@ -70,6 +74,8 @@
 
 // Acquire takes or renews the lease if that is allowed; it must be called more often than the duration.
 func (les *Lease) Acquire(ctx context.Context) error {
+	les.calls.Lock()
+	defer les.calls.Unlock()
 	if les.fresh() {
 		return nil
 	}
@@ -144,6 +150,8 @@
 
 // Release gives the lease up so that another daemon can take it at once.
 func (les *Lease) Release(ctx context.Context) error {
+	les.calls.Lock()
+	defer les.calls.Unlock()
 	if !les.Held() {
 		return nil
 	}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,160 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"github.com/cumintally/cumintally/internal/platform"
+	standin "github.com/cumintally/cumintally/internal/standin/platform"
+)
+
+const duration = 4 * time.Second
+
+// TestOneHolder guards against two daemons that both count themselves as the holder, whatever pauses,
+// lost answers and outages come between.
+func TestOneHolder(tst *testing.T) {
+	cases := 0
+	rapid.Check(tst, func(rpd *rapid.T) {
+		cases++
+		run(rpd)
+	})
+	if os.Getenv("CUMINTALLY_PROVE") != "" {
+		fmt.Printf("invariant=one-lease-holder cases=%d violations=0\n", cases)
+	}
+}
+
+func run(rpd *rapid.T) {
+	ctx := context.Background()
+	clk := clockwork.NewFakeClock()
+	pst := standin.NewStore().Platform()
+	var leases []*Lease
+	check := func() {
+		held := 0
+		for _, les := range leases {
+			if les.Held() {
+				held++
+			}
+		}
+		if held > 1 {
+			rpd.Fatalf("%d daemons hold the lease", held)
+		}
+	}
+	var step func(depth int)
+	// pause lets time pass, and other daemons act, in the middle of a call.
+	pause := func(depth int) {
+		for range rapid.IntRange(0, 3).Draw(rpd, "meanwhile") {
+			clk.Advance(time.Duration(rapid.IntRange(0, 6000).Draw(rpd, "pause")) * time.Millisecond)
+			check()
+			if depth == 0 {
+				step(depth + 1)
+			}
+		}
+	}
+	depth := 0
+	busy := -1
+	slow := pst
+	slow.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
+		fate := rapid.SampledFrom([]string{"fast", "fast", "slow", "lost", "out"}).Draw(rpd, "fate")
+		if fate == "out" {
+			return 0, platform.ErrUnavailable
+		}
+		if fate == "slow" {
+			pause(depth)
+		}
+		ver, err := pst.Put(ctx, kind, name, expected, value)
+		if fate == "slow" {
+			pause(depth)
+		}
+		if fate == "lost" {
+			return 0, platform.ErrUnknownOutcome
+		}
+		return ver, err
+	}
+	for idx := range 3 {
+		leases = append(leases, New("zone", fmt.Sprintf("entry-%d", idx), duration, slow, clk))
+	}
+	step = func(now int) {
+		idx := rapid.IntRange(0, 2).Draw(rpd, "daemon")
+		if idx == busy {
+			return
+		}
+		depth = now
+		if now == 0 {
+			busy = idx
+			defer func() { busy = -1 }()
+		}
+		les := leases[idx]
+		if rapid.IntRange(0, 9).Draw(rpd, "release") == 0 {
+			_ = les.Release(ctx)
+		} else {
+			_ = les.Acquire(ctx)
+		}
+		depth = 0
+		check()
+	}
+	for range rapid.IntRange(1, 40).Draw(rpd, "steps") {
+		clk.Advance(time.Duration(rapid.IntRange(0, 2500).Draw(rpd, "advance")) * time.Millisecond)
+		check()
+		step(0)
+	}
+}
+
+// TestPauseEndsHolding guards against a holder that goes on after a pause longer than its lease.
+func TestPauseEndsHolding(tst *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pst := standin.NewStore().Platform()
+	fst := New("zone", "entry-1", duration, pst, clk)
+	snd := New("zone", "entry-2", duration, pst, clk)
+	qt.Assert(tst, fst.Acquire(tst.Context()), qt.IsNil)
+	qt.Assert(tst, fst.Held(), qt.IsTrue)
+	qt.Assert(tst, snd.Acquire(tst.Context()), qt.IsNil)
+	qt.Assert(tst, snd.Held(), qt.IsFalse)
+	clk.Advance(duration + time.Millisecond)
+	qt.Assert(tst, fst.Held(), qt.IsFalse)
+	qt.Assert(tst, snd.Acquire(tst.Context()), qt.IsNil)
+	qt.Assert(tst, snd.Held(), qt.IsTrue)
+	qt.Assert(tst, snd.Epoch(), qt.Equals, uint64(2))
+	qt.Assert(tst, fst.Acquire(tst.Context()), qt.IsNil)
+	qt.Assert(tst, fst.Held(), qt.IsFalse)
+}
+
+// TestLostAnswer guards against a lease that nobody holds after the answer to its first write was lost.
+func TestLostAnswer(tst *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pst := standin.NewStore().Platform()
+	lossy := pst
+	lossy.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
+		_, _ = pst.Put(ctx, kind, name, expected, value)
+		return 0, platform.ErrUnknownOutcome
+	}
+	les := New("zone", "entry-1", duration, lossy, clk)
+	qt.Assert(tst, errors.Is(les.Acquire(tst.Context()), platform.ErrUnknownOutcome), qt.IsTrue)
+	qt.Assert(tst, les.Held(), qt.IsFalse)
+	les.pst = pst
+	qt.Assert(tst, les.Acquire(tst.Context()), qt.IsNil)
+	qt.Assert(tst, les.Held(), qt.IsTrue)
+	qt.Assert(tst, les.Epoch(), qt.Equals, uint64(1))
+}
+
+// TestReplacedUnderSameName guards against a paused process that shares the lease of the one that took
+// its place under the same name.
+func TestReplacedUnderSameName(tst *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pst := standin.NewStore().Platform()
+	old := New("zone", "entry-1", duration, pst, clk)
+	qt.Assert(tst, old.Acquire(tst.Context()), qt.IsNil)
+	successor := New("zone", "entry-1", duration, pst, clk)
+	qt.Assert(tst, successor.Acquire(tst.Context()), qt.IsNil)
+	qt.Assert(tst, successor.Held(), qt.IsFalse)
+	qt.Assert(tst, old.Release(tst.Context()), qt.IsNil)
+	qt.Assert(tst, successor.Acquire(tst.Context()), qt.IsNil)
+	qt.Assert(tst, successor.Held(), qt.IsTrue)
+}
--- a/internal/probe/prober.go
+++ b/internal/probe/prober.go
@@ -18,9 +18,13 @@
 
 const (
 	kindEvidence = "Evidence"
-	// maxProbes bounds the probes in progress at one daemon: at 59 daemons and 394 VMs of a zone a daemon
-	// probes 7 VMs, so that the bound holds a daemon that is left alone to about 2,000 probes a second.
+	// maxProbes bounds the probes in progress at one daemon. A probe of an engine that is well takes a few
+	// milliseconds, so that a daemon that is left alone with the 394 VMs of a zone goes through them in
+	// a small part of an interval.
 	maxProbes = 64
+	// maxRetries bounds the probes of VMs that did not answer the last one. They hold a slot for their
+	// whole timeout and, with slots of their own, keep no other VM waiting.
+	maxRetries = 16
 	// substitutes is the number of daemons, the owner included, that probe a VM that its owner does not
 	// hear, since only the owner may be cut off from it.
 	substitutes = 3
@@ -37,13 +41,15 @@
 	report   func(ctx context.Context, adr string) (backend.Report, error)
 	vms      func() []platform.VM
 
-	slots chan struct{}
+	slots   chan struct{}
+	retries chan struct{}
 
 	feeds map[string]*feed
 
 	mu      sync.Mutex
 	subs    map[string]*subscription
 	probing map[string]bool
+	silent  map[string]bool
 }
 
 // New returns a prober of the engines that vms returns; report asks one of them.
@@ -67,6 +73,7 @@
 		report:   report,
 		vms:      vms,
 		slots:    make(chan struct{}, maxProbes),
+		retries:  make(chan struct{}, maxRetries),
 		feeds: map[string]*feed{
 			feedOwn:  newFeed(),
 			feedCell: newFeed(),
@@ -74,6 +81,7 @@
 		},
 		subs:    map[string]*subscription{},
 		probing: map[string]bool{},
+		silent:  map[string]bool{},
 	}
 	msh.Handle(kindEvidence, prb.answer)
 	return prb
@@ -99,23 +107,26 @@
 	}
 }
 
-// probeAll starts a probe of each VM that is this daemon's to probe. A VM whose last probe has not ended,
-// or that finds all slots taken, is left for the next turn.
+// probeAll starts a probe of each VM that is this daemon's to probe and whose last probe has ended.
 func (prb *Prober) probeAll(ctx context.Context, alive []peer.Identity) {
 	for _, vmc := range prb.vms() {
-		if !prb.mine(vmc.Name, alive) || !prb.begin(vmc.Name) {
+		if !prb.mine(vmc.Name, alive) {
 			continue
 		}
-		select {
-		case prb.slots <- struct{}{}:
-			go func() {
-				defer func() { <-prb.slots }()
-				defer prb.end(vmc.Name)
-				prb.probe(ctx, vmc)
-			}()
-		default:
-			prb.end(vmc.Name)
+		slots, ok := prb.begin(vmc.Name)
+		if !ok {
+			continue
 		}
+		go func() {
+			select {
+			case slots <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+			heard := prb.probe(ctx, vmc)
+			<-slots
+			prb.end(vmc.Name, heard)
+		}()
 	}
 }
 
@@ -141,30 +152,40 @@
 	return xxhash.Sum64String(daemon + "\x00" + vm)
 }
 
-func (prb *Prober) begin(vm string) bool {
+// begin marks a VM as being probed and returns the slots to probe it in.
+func (prb *Prober) begin(vm string) (chan struct{}, bool) {
 	prb.mu.Lock()
 	defer prb.mu.Unlock()
 	if prb.probing[vm] {
-		return false
+		return nil, false
 	}
 	prb.probing[vm] = true
-	return true
+	if prb.silent[vm] {
+		return prb.retries, true
+	}
+	return prb.slots, true
 }
 
-func (prb *Prober) end(vm string) {
+func (prb *Prober) end(vm string, heard bool) {
 	prb.mu.Lock()
 	defer prb.mu.Unlock()
 	delete(prb.probing, vm)
+	if heard {
+		delete(prb.silent, vm)
+	} else {
+		prb.silent[vm] = true
+	}
 }
 
-func (prb *Prober) probe(ctx context.Context, vmc platform.VM) {
+// probe asks a VM for its report and reports whether it gave one.
+func (prb *Prober) probe(ctx context.Context, vmc platform.VM) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*prb.interval)
 	defer cancel()
 	asOf := prb.clk.Now()
 	rep, err := prb.report(ctx, vmc.Address)
 	if err != nil || rep.VM != vmc.Name {
 		prb.log.Debug("a VM did not report", zap.String("vm", vmc.Name), zap.Error(err))
-		return
+		return false
 	}
 	ent := evidence.Entry{
 		Report: rep,
@@ -174,4 +195,5 @@
 		fed.put(ent)
 	}
 	prb.tab.Record(ent)
+	return true
 }
