--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -137,7 +137,7 @@
 			return nod.pst.Put(ctx, kind, name, expected, value)
 		},
 	}
-	nod.inv = inventory.New(bch.pst, bch.clk, zap.NewNop())
+	nod.inv = inventory.New(zap.NewNop())
 	nod.tab = evidence.New(cfg.EvidenceMaxAge)
 	sea := Seams{
 		InForce: func() *document.Document { return bch.doc },
@@ -221,8 +221,30 @@
 	for _, obj := range objs {
 		nod.inv.TakeAllocation(ctx, obj)
 	}
-	vms, _ := bch.pst.VMs(ctx)
-	nod.inv.SetVMs(vms)
+	nod.takeVMs(ctx)
+}
+
+// takeVMs makes the node's list of VMs equal to the platform's.
+func (nod *node) takeVMs(ctx context.Context) {
+	vms, _ := nod.bch.pst.VMs(ctx)
+	listed := map[string]bool{}
+	for _, vmc := range vms {
+		listed[vmc.Name] = true
+		val, err := json.Marshal(vmc)
+		qt.Assert(nod.bch.tst, err, qt.IsNil)
+		nod.inv.TakeVM(ctx, platform.Object{
+			Name:  vmc.Name,
+			Value: val,
+		})
+	}
+	for _, vmc := range nod.inv.VMs() {
+		if !listed[vmc.Name] {
+			nod.inv.TakeVM(ctx, platform.Object{
+				Name:    vmc.Name,
+				Deleted: true,
+			})
+		}
+	}
 }
 
 func (nod *node) step() {
