Take the test fleet's ports from outside the range of outgoing connections

A run of make bench-capacity failed since a daemon could not listen: the kernel had given its port to an outgoing connection between the choice and the start.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -246,19 +247,30 @@
 	}
 }
 
+// Ports of the processes lie below the range from which the kernel takes ports of outgoing connections,
+// which would otherwise take one between its choice and its use.
+const (
+	lowestPort  = 10000
+	highestPort = 32000
+)
+
 // freeAddresses returns loopback addresses that nothing listens on now.
 func freeAddresses(num int) ([]string, error) {
 	var adrs []string
-	for range num {
-		lst, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 * num {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		lst, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, errors.Trace(err)
+			continue
 		}
 		// The listeners are closed together, so that the addresses differ.
 		defer lst.Close()
 		adrs = append(adrs, lst.Addr().String())
+		if len(adrs) == num {
+			return adrs, nil
+		}
 	}
-	return adrs, nil
+	return nil, errors.New("no free ports")
 }
 
 func send(ctx context.Context, method, url string, body any) error {
