--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -66,6 +66,7 @@
 	Table      *evidence.Table
 	Membership *zone.Membership
 	Rollout    *rollout.Rollout
+	Platform   platform.Store
 	Orders     *zoneorder.Orders
 	Burn       *survey.Survey[[]burn.Series]
 	Metrics    metrics.Registry
@@ -82,6 +83,7 @@
 		Daemons:   dep.Membership.Alive,
 		OrderZone: dep.Orders.Order,
 		Rollout:   dep.Rollout.Zones,
+		VMs:       dep.Platform.VMs,
 		Burn:      burnReport(dep.Burn, dep.Store, dep.Clock),
 	}
 	return operator.New(cfg, sea, dep.Store, dep.Inventory, dep.Table, dep.Metrics, dep.Log)
--- a/internal/operator/config.go
+++ b/internal/operator/config.go
@@ -41,7 +41,12 @@
 		writeError(rsw, http.StatusUnprocessableEntity, err.Error())
 		return
 	}
-	trl, err := hnd.sto.Try(req.Context(), doc, trial.Run(doc, hnd.inv.VMs()))
+	vms, err := hnd.sea.VMs(req.Context())
+	if err != nil {
+		hnd.answer(rsw, nil, err)
+		return
+	}
+	trl, err := hnd.sto.Try(req.Context(), doc, trial.Run(doc, vms))
 	hnd.answer(rsw, trl, err)
 }
 
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -38,6 +38,8 @@
 	OrderZone func(ctx context.Context, name string, out bool) (inventory.Zone, error)
 	// Rollout tells where a generation is in force.
 	Rollout func(ctx context.Context, gen uint64) []rollout.Zone
+	// VMs reads the platform's list of VMs anew.
+	VMs func(ctx context.Context) ([]platform.VM, error)
 	// Burn gathers the burn report.
 	Burn func(ctx context.Context) burn.Report
 }
--- a/internal/verb/table.go
+++ b/internal/verb/table.go
@@ -12,6 +12,7 @@
 	newStatus,
 	newReport,
 	newSettings,
+	newLocal,
 	newVersion,
 }
 
