--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -38,6 +38,9 @@
 	ServicesByZone int
 	// PlatformArgs are passed to the platform.
 	PlatformArgs []string
+	// RestartCrashed is the time after which an engine that crashed on its own starts again, as on a VM
+	// that is replaced; 0 leaves it crashed.
+	RestartCrashed time.Duration
 	// EngineArgs are passed to every engine.
 	EngineArgs []string
 	// EntryEnv is added to the environment of every daemon.
@@ -205,6 +208,9 @@
 		args:    append([]string{verb, "--listen", adrs[0]}, args...),
 		log:     filepath.Join(flt.cfg.Folder, name+".log"),
 	}
+	if verb == "engine" {
+		prc.restart = flt.cfg.RestartCrashed
+	}
 	return prc, errors.Trace(prc.start())
 }
 
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -21,12 +21,23 @@
 	env  []string
 	log  string
 
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}
+	// restart is the time after which the process starts again when it crashed on its own; 0 leaves it.
+	restart time.Duration
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{}
+	stopped bool
 }
 
 func (prc *Process) start() error {
+	prc.mu.Lock()
+	defer prc.mu.Unlock()
+	prc.stopped = false
+	return prc.startLocked()
+}
+
+func (prc *Process) startLocked() error {
 	out, err := os.OpenFile(prc.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return errors.Trace(err)
@@ -47,18 +58,32 @@
 	go func() {
 		_ = cmd.Wait()
 		close(done)
+		if prc.restart > 0 {
+			time.Sleep(prc.restart)
+			prc.recover(cmd)
+		}
 	}()
-	prc.mu.Lock()
 	prc.cmd = cmd
 	prc.done = done
-	prc.mu.Unlock()
 	return nil
 }
 
+// recover starts the process again unless it was stopped or started meanwhile.
+func (prc *Process) recover(crashed *exec.Cmd) {
+	prc.mu.Lock()
+	defer prc.mu.Unlock()
+	if !prc.stopped && prc.cmd == crashed {
+		_ = prc.startLocked()
+	}
+}
+
 // Signal sends a signal to the process, such as SIGSTOP to pause it.
 func (prc *Process) Signal(sig syscall.Signal) error {
 	prc.mu.Lock()
 	defer prc.mu.Unlock()
+	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+		prc.stopped = true
+	}
 	return errors.Trace(prc.cmd.Process.Signal(sig))
 }
 
--- /dev/null
+++ b/internal/standin/fleet/process_test.go
@@ -0,0 +1,35 @@
+package fleet
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestRestart guards against a crashed process that does not come back, and against one that comes back
+// after a test has stopped it, which would leave it running.
+func TestRestart(tst *testing.T) {
+	ckr := qt.New(tst)
+	prc := &Process{
+		path:    "/bin/sleep",
+		args:    []string{"0.02"},
+		log:     filepath.Join(tst.TempDir(), "log"),
+		restart: 20 * time.Millisecond,
+	}
+	ckr.Assert(prc.start(), qt.IsNil)
+	pid := func() int {
+		prc.mu.Lock()
+		defer prc.mu.Unlock()
+		return prc.cmd.Process.Pid
+	}
+	first := pid()
+	for due := time.Now().Add(5 * time.Second); pid() == first; time.Sleep(time.Millisecond) {
+		ckr.Assert(time.Now().Before(due), qt.IsTrue)
+	}
+	ckr.Assert(prc.Kill(), qt.IsNil)
+	last := pid()
+	time.Sleep(100 * time.Millisecond)
+	ckr.Assert(pid(), qt.Equals, last)
+}
--- a/internal/standin/verb/run.go
+++ b/internal/standin/verb/run.go
@@ -76,6 +76,7 @@
 		VMsPerDomain:   5,
 		Service:        "jobs",
 		ServicesByZone: 1,
+		RestartCrashed: time.Second,
 	})
 	if err != nil {
 		return errors.Trace(err)
