--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build run test race vet lint format spec bench-relay
+.PHONY: build run test race vet lint format spec bench-relay fuzz
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -35,3 +35,13 @@
 	$(BIN)/cumintally-standin capacity --binaries $(BIN)
 bench-relay: build
 	$(BIN)/cumintally-standin bench-relay --binaries $(BIN)
+
+FUZZTIME ?= 10s
+FUZZERS := ./internal/platform:FuzzAnswers ./internal/backend:FuzzReport ./internal/backend:FuzzFrames \
+	./internal/peer:FuzzHandshake ./internal/settings:FuzzSettings ./internal/stream:FuzzToken \
+	./internal/stream:FuzzEventID ./pkg/document:FuzzParse
+
+fuzz:
+	set -e; for fuzzer in $(FUZZERS); do \
+		$(GO) test $${fuzzer%:*} -run '^$$' -fuzz "^$${fuzzer#*:}$$" -fuzztime $(FUZZTIME); \
+	done
