--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -66,6 +66,9 @@
 	ckr.Assert(rep.Endings, qt.DeepEquals, map[string]int{endWhole: 50}, qt.Commentf("%v", rep.Details))
 	ckr.Assert(rep.InTimeShare, qt.Equals, 1.0)
 	ckr.Assert(rep.Classes, qt.HasLen, 2)
+	ckr.Assert(rep.Shares, qt.HasLen, 2)
+	ckr.Assert(rep.Shares[0].Whole+rep.Shares[1].Whole, qt.Equals, 50)
+	ckr.Assert(rep.Shares[0].Tokens+rep.Shares[1].Tokens, qt.Equals, rep.Tokens)
 	ckr.Assert(rep.Delay.Count, qt.Equals, int64(rep.Tokens))
 	ckr.Assert(rep.Classes[0].FirstToken.Count+rep.Classes[1].FirstToken.Count, qt.Equals, int64(50))
 	var out bytes.Buffer
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -33,6 +33,15 @@
 	BetweenTokens Quantiles
 }
 
+// Share holds the results of one workspace.
+type Share struct {
+	Workspace string
+	Sent      int
+	Whole     int
+	InTime    int
+	Tokens    int
+}
+
 // Second holds the results of the requests that were due in one second of the run.
 type Second struct {
 	Second        int
@@ -71,6 +80,7 @@
 	// Delay is the time from the engine's send time to the receipt of a token, for engines that stamp tokens.
 	Delay   Quantiles
 	Classes []Class
+	Shares  []Share
 	Seconds []Second
 	// Details says what was wrong with some of the answers that were not whole.
 	Details []string
@@ -109,6 +119,10 @@
 		})
 	}
 	sort.Slice(rep.Classes, func(fst, snd int) bool { return rep.Classes[fst].Priority > rep.Classes[snd].Priority })
+	for _, shr := range tly.shares {
+		rep.Shares = append(rep.Shares, *shr)
+	}
+	sort.Slice(rep.Shares, func(fst, snd int) bool { return rep.Shares[fst].Workspace < rep.Shares[snd].Workspace })
 	for idx, sec := range tly.seconds {
 		rep.Seconds = append(rep.Seconds, Second{
 			Second:        idx,
@@ -170,6 +184,9 @@
 		writeQuantiles(tab, "  time to first token", cls.FirstToken)
 		writeQuantiles(tab, "  between tokens", cls.BetweenTokens)
 	}
+	for _, shr := range rep.Shares {
+		fmt.Fprintf(tab, "workspace %s\t%d sent, %d whole, %d in time, %d tokens\n", shr.Workspace, shr.Sent, shr.Whole, shr.InTime, shr.Tokens)
+	}
 	for _, det := range rep.Details {
 		fmt.Fprintf(tab, "not whole\t%s\n", det)
 	}
--- a/internal/standin/load/tally.go
+++ b/internal/standin/load/tally.go
@@ -31,6 +31,7 @@
 	rejected *hdrhistogram.Histogram
 	delays   *hdrhistogram.Histogram
 	classes  map[int]*class
+	shares   map[string]*Share
 	seconds  map[int]*second
 }
 
@@ -59,6 +60,7 @@
 		rejected: newHistogram(),
 		delays:   newHistogram(),
 		classes:  map[int]*class{},
+		shares:   map[string]*Share{},
 		seconds:  map[int]*second{},
 	}
 }
@@ -82,7 +84,10 @@
 	defer tly.mu.Unlock()
 	cls := tly.class(res.workspace.Priority)
 	sec := tly.second(res.due)
+	shr := tly.share(res.workspace.Name)
 	tly.sent++
+	shr.Sent++
+	shr.Tokens += res.tokens
 	cls.sent++
 	sec.sent++
 	tly.resumes += res.resumes
@@ -101,11 +106,13 @@
 		}
 	} else {
 		cls.whole++
+		shr.Whole++
 		sec.whole++
 		record(tly.answers, res.total)
 	}
 	if inTime {
 		cls.inTime++
+		shr.InTime++
 		sec.inTime++
 	}
 	if res.tokens > 0 {
@@ -132,6 +139,17 @@
 	return cls
 }
 
+func (tly *tally) share(name string) *Share {
+	shr := tly.shares[name]
+	if shr == nil {
+		shr = &Share{
+			Workspace: name,
+		}
+		tly.shares[name] = shr
+	}
+	return shr
+}
+
 func (tly *tally) second(due time.Time) *second {
 	idx := int(due.Sub(tly.start) / time.Second)
 	sec := tly.seconds[idx]
