--- /dev/null
+++ b/internal/permit/queue/queue_test.go
@@ -0,0 +1,109 @@
+package queue_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/cumintally/cumintally/internal/permit"
+	"github.com/cumintally/cumintally/internal/permit/queue"
+)
+
+var start = time.Unix(1000, 0)
+
+// newQueue returns a queue that holds a grant of slots for a second.
+func newQueue(slots int, cold bool) *queue.Queue {
+	que := queue.New(queue.Config{
+		MaxWaiting: 4,
+		Spare:      2,
+		SpareFor:   time.Second,
+		Objective:  time.Second,
+	})
+	que.See(queue.Sight{Fencing: 1, Incarnation: 7, Cold: cold, AsOf: start})
+	que.Take(&permit.Grant{Slots: slots, Incarnation: 7, Cold: cold, ValidFor: time.Second}, start, start)
+	return que
+}
+
+func enter(t *testing.T, que *queue.Queue, workspace string, share, priority int, within time.Duration) *queue.Ticket {
+	t.Helper()
+	tkt := &queue.Ticket{
+		Workspace: workspace,
+		Share:     share,
+		Priority:  priority,
+		Deadline:  start.Add(within),
+	}
+	_, err := que.Enter(tkt, start)
+	qt.Assert(t, err, qt.IsNil)
+	return tkt
+}
+
+func ready(tkt *queue.Ticket) bool {
+	select {
+	case <-tkt.Ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// TestOrder guards against a slot that goes to a request of lower priority, of a workspace that has had
+// more than its share, or of a later deadline.
+func TestOrder(t *testing.T) {
+	que := newQueue(1, false)
+	running := enter(t, que, "polishing", 1, 5, time.Minute)
+	qt.Assert(t, ready(running), qt.IsTrue)
+	low := enter(t, que, "visitors", 1, 1, time.Second)
+	late := enter(t, que, "polishing", 1, 5, time.Minute)
+	other := enter(t, que, "inspection", 1, 5, time.Hour)
+	early := enter(t, que, "polishing", 1, 5, time.Second)
+	_, err := que.Enter(&queue.Ticket{Workspace: "polishing", Deadline: start.Add(time.Hour)}, start)
+	qt.Assert(t, errors.Is(err, queue.ErrFull), qt.IsTrue)
+	for _, next := range []*queue.Ticket{other, early, late, low} {
+		qt.Assert(t, ready(next), qt.IsFalse)
+		que.End(running, start)
+		qt.Assert(t, ready(next), qt.IsTrue)
+		running = next
+	}
+}
+
+// TestLate guards against a request that waits although it cannot start before its deadline.
+func TestLate(t *testing.T) {
+	que := newQueue(1, false)
+	now := start
+	tkt := enter(t, que, "polishing", 1, 0, time.Minute)
+	for range 40 {
+		sgt := queue.Sight{Fencing: 1, Incarnation: 7, AsOf: now}
+		que.Take(&permit.Grant{Slots: 1, Incarnation: 7, ValidFor: time.Second}, now, now)
+		qt.Assert(t, que.Send(tkt, sgt, now), qt.IsNil)
+		now = now.Add(500 * time.Millisecond)
+		que.End(tkt, now)
+		tkt = &queue.Ticket{Workspace: "polishing", Deadline: now.Add(time.Minute)}
+		_, err := que.Enter(tkt, now)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	wait, err := que.Enter(&queue.Ticket{Workspace: "polishing", Deadline: now.Add(100 * time.Millisecond)}, now)
+	qt.Assert(t, errors.Is(err, queue.ErrLate), qt.IsTrue)
+	qt.Assert(t, wait > 300*time.Millisecond && wait <= 500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", wait))
+}
+
+// TestLostSlot guards against sending with a slot that was lost after the admission.
+func TestLostSlot(t *testing.T) {
+	for name, tst := range map[string]struct {
+		sight queue.Sight
+		after time.Duration
+	}{
+		"expired":     {queue.Sight{Fencing: 1, Incarnation: 7, AsOf: start}, time.Second},
+		"restarted":   {queue.Sight{Fencing: 1, Incarnation: 8, AsOf: start.Add(1)}, 0},
+		"turned cold": {queue.Sight{Fencing: 1, Incarnation: 7, Cold: true, AsOf: start.Add(1)}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			que := newQueue(4, false)
+			tkt := enter(t, que, "polishing", 1, 0, time.Minute)
+			qt.Assert(t, ready(tkt), qt.IsTrue)
+			err := que.Send(tkt, tst.sight, start.Add(tst.after))
+			qt.Assert(t, errors.Is(err, queue.ErrExpired), qt.IsTrue)
+		})
+	}
+}
