Choose a replica by the expected time to its tokens

The score is the expected time to the first token and to those that follow, from the queues at the owner and in the engine, the cached prefix, the adapter, the priority, the deadline and the step time. The choice is drawn among replicas near the best score. Daemons without a hint agree on a home for a prefix by its hash.

--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,130 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cumintally/cumintally/internal/router"
+)
+
+var start = time.Unix(1000, 0)
+
+func newRouter(policy router.Policy, seed uint64) *router.Router {
+	return router.New(router.Config{
+		Policy:      policy,
+		Prefill:     200 * time.Millisecond,
+		Step:        20 * time.Millisecond,
+		StepGrowth:  time.Millisecond,
+		AdapterLoad: time.Second,
+		Tokens:      64,
+		Near:        0.02,
+		HalfLife:    time.Minute,
+		MaxPrefixes: 4096,
+	}, rand.New(rand.NewPCG(seed, 0)))
+}
+
+func newViews(num int) []router.View {
+	views := make([]router.View, num)
+	for idx := range views {
+		views[idx] = router.View{
+			Group:      fmt.Sprintf("recipes-1/%d", idx),
+			HasAdapter: true,
+			Running:    4,
+			Limit:      32,
+			StepTime:   20 * time.Millisecond,
+		}
+	}
+	return views
+}
+
+// TestChooseAvoids guards against a choice of a replica that answers late for a known reason.
+func TestChooseAvoids(t *testing.T) {
+	for name, worsen := range map[string]func(viw *router.View){
+		"straggler":       func(viw *router.View) { viw.StepTime *= 4 },
+		"full":            func(viw *router.View) { viw.Running = viw.Limit; viw.Waiting = 8 },
+		"engine queue":    func(viw *router.View) { viw.Batch = 16; viw.Queued = 4 },
+		"missing adapter": func(viw *router.View) { viw.HasAdapter = false },
+		"larger batch":    func(viw *router.View) { viw.Running += 12 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			rtr := newRouter(router.PolicyScore, 1)
+			views := newViews(3)
+			worsen(&views[0])
+			worsen(&views[2])
+			for range 50 {
+				qt.Assert(t, rtr.Choose(router.Request{MaxTokens: 32}, views, start), qt.Equals, 1)
+			}
+		})
+	}
+}
+
+// TestChoosePrefersCache guards against prompts with a shared prefix that are computed at every replica,
+// and against hints that are followed for ever.
+func TestChoosePrefersCache(t *testing.T) {
+	rtr := newRouter(router.PolicyScore, 2)
+	views := newViews(8)
+	req := router.Request{Prefixes: []uint64{11, 12, 13, 14}, MaxTokens: 16}
+	rtr.Sent(views[5].Group, req.Prefixes, start)
+	for range 50 {
+		qt.Assert(t, rtr.Choose(req, views, start.Add(time.Second)), qt.Equals, 5)
+	}
+	rtr.Event(views[5].Group, 11, true, start)
+	other := rtr.Choose(req, views, start.Add(time.Second))
+	for range 50 {
+		qt.Assert(t, rtr.Choose(req, views, start.Add(time.Second)), qt.Equals, other, qt.Commentf("all agree on a home"))
+	}
+	views[other].Running = 30
+	rtr.Sent(views[5].Group, req.Prefixes, start)
+	chosen := map[int]bool{}
+	for range 200 {
+		chosen[rtr.Choose(req, views, start.Add(time.Hour))] = true
+	}
+	qt.Assert(t, len(chosen), qt.Equals, 7, qt.Commentf("an old hint no longer counts"))
+}
+
+// TestChooseSpreads guards against daemons with the same late view that all choose the same replica.
+func TestChooseSpreads(t *testing.T) {
+	views := newViews(10)
+	counts := make([]int, len(views))
+	for seed := range 1000 {
+		counts[newRouter(router.PolicyScore, uint64(seed)).Choose(router.Request{MaxTokens: 32}, views, start)]++
+	}
+	for _, num := range counts {
+		qt.Assert(t, num > 50 && num < 150, qt.IsTrue, qt.Commentf("%v", counts))
+	}
+}
+
+// TestChooseAllocatesNothing guards against garbage on the way of every request.
+func TestChooseAllocatesNothing(t *testing.T) {
+	rtr := newRouter(router.PolicyScore, 3)
+	views := newViews(690)
+	req := router.Request{Prefixes: []uint64{1, 2, 3, 4}, MaxTokens: 32}
+	rtr.Sent(views[7].Group, req.Prefixes, start)
+	qt.Assert(t, testing.AllocsPerRun(100, func() { rtr.Choose(req, views, start) }), qt.Equals, 0.0)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, policy := range []router.Policy{
+		router.PolicyScore,
+		router.PolicyRoundRobin,
+		router.PolicyLeastOutstanding,
+		router.PolicyPowerOfTwo,
+	} {
+		for _, num := range []int{50, 100, 690} {
+			b.Run(fmt.Sprintf("%s/%d", policy, num), func(b *testing.B) {
+				rtr := newRouter(policy, 4)
+				views := newViews(num)
+				req := router.Request{Prefixes: []uint64{1, 2, 3, 4}, MaxTokens: 32}
+				rtr.Sent(views[7].Group, req.Prefixes, start)
+				b.ReportAllocs()
+				for b.Loop() {
+					rtr.Choose(req, views, start)
+				}
+			})
+		}
+	}
+}
