--- a/internal/backend/stream.go
+++ b/internal/backend/stream.go
@@ -11,6 +11,9 @@
 
 // Stream reads the frames of one generated text.
 type Stream struct {
+	// Observe, if set, is called with each frame that Next returns.
+	Observe func(frm Frame)
+
 	body io.ReadCloser
 	scn  *bufio.Scanner
 }
@@ -41,6 +44,9 @@
 		if err := json.Unmarshal(data, &frm); err != nil {
 			return Frame{}, errors.Annotate(ErrBroken, err.Error())
 		}
+		if str.Observe != nil {
+			str.Observe(frm)
+		}
 		return frm, nil
 	}
 	if err := str.scn.Err(); err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,6 +48,7 @@
 	Prober     *probe.Prober
 	Controller *controller.Controller
 	ZoneOrders *zoneorder.Orders
+	Limits     *limits
 	Caller     *caller.Handler
 	Ledger     *booking.Ledger
 	Operator   *operator.Handler
@@ -127,6 +128,7 @@
 	wgr.Go(func() { ent.dep.Prober.Run(ctx) })
 	wgr.Go(func() { ent.dep.ZoneOrders.Run(ctx) })
 	wgr.Go(func() { fol.followVMs(ctx) })
+	wgr.Go(func() { ent.dep.Limits.Run(ctx) })
 	wgr.Go(func() { fol.settle(ctx) })
 	wgr.Go(func() { ent.dep.Sampler.run(ctx) })
 	for _, kind := range []string{platform.KindAllocation, platform.KindZone, platform.KindDocument} {
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -35,6 +35,7 @@
 	newLease,
 	newController,
 	newZoneOrders,
+	newLimits,
 	newDispatcher,
 	newLedger,
 	newServiceCaller,
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -45,16 +44,16 @@
 	msh *peer.Mesh,
 	inv *inventory.Inventory,
 	tab *evidence.Table,
+	lms *limits,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *dispatch.Dispatcher {
-	lim := newOutstanding()
 	sea := dispatch.Seams{
-		Generate: bck.Generate,
-		Resume:   bck.Resume,
+		Generate: lms.generate,
+		Resume:   lms.resume,
 		Cancel:   bck.Cancel,
-		Choose:   lim.choose,
-		Acquire:  lim.acquire,
+		Choose:   lms.choose,
+		Acquire:  lms.acquire,
 		Forward:  forward(set, msh, inv),
 	}
 	dsp := dispatch.New(set.Entry.AvailabilityZone, []byte(set.Peers.Key), sea, inv, tab, clk, log)
@@ -100,41 +99,6 @@
 	}
 }
 
-// outstanding counts this daemon's requests in progress at each group.
-type outstanding struct {
-	mu     sync.Mutex
-	counts map[string]int
-}
-
-func newOutstanding() *outstanding {
-	return &outstanding{
-		counts: map[string]int{},
-	}
-}
-
-func (ost *outstanding) choose(_ dispatch.Request, cands []dispatch.Candidate) dispatch.Candidate {
-	ost.mu.Lock()
-	defer ost.mu.Unlock()
-	best := cands[0]
-	for _, cnd := range cands[1:] {
-		if ost.counts[cnd.Group.Name] < ost.counts[best.Group.Name] {
-			best = cnd
-		}
-	}
-	return best
-}
-
-func (ost *outstanding) acquire(_ context.Context, _ dispatch.Request, cand dispatch.Candidate) (func(), error) {
-	ost.mu.Lock()
-	defer ost.mu.Unlock()
-	ost.counts[cand.Group.Name]++
-	return func() {
-		ost.mu.Lock()
-		defer ost.mu.Unlock()
-		ost.counts[cand.Group.Name]--
-	}, nil
-}
-
 func newCaller(deps callerParts) *caller.Handler {
 	set := deps.Settings
 	cfg := caller.Config{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,8 @@
 	Requests  Requests
 	Bookings  Bookings
 	Control   Control
+	Limits    Limits
+	Routing   Routing
 	Log       Log
 }
 
@@ -84,6 +86,32 @@
 	LeaseDuration  time.Duration
 }
 
+// Limits holds the numbers of the limits over all daemons of an availability zone.
+type Limits struct {
+	Policy          string
+	ValidFor        time.Duration
+	Renew           time.Duration
+	Settle          time.Duration
+	ReportLag       time.Duration
+	FirstToken      time.Duration
+	MaxWait         time.Duration
+	MaxWaiting      int
+	AdjustInterval  time.Duration
+	Increase        int
+	DecreasePercent int
+	Spare           int
+}
+
+// Routing holds the numbers of the choice of a replica.
+type Routing struct {
+	Policy      string
+	Prefill     time.Duration
+	Step        time.Duration
+	AdapterLoad time.Duration
+	NearPercent int
+	HalfLife    time.Duration
+}
+
 // Log says what is logged.
 type Log struct {
 	Level string
--- a/internal/workspace/registry.go
+++ b/internal/workspace/registry.go
@@ -17,6 +17,7 @@
 type index struct {
 	doc   *document.Document
 	byKey map[string]document.Workspace
+	share map[string]int
 }
 
 // New returns a registry of the document that inForce returns.
@@ -32,23 +33,39 @@
 	if doc == nil || key == "" {
 		return document.Workspace{}, false
 	}
+	idx := reg.index(doc)
+	// Comparing hashes in a map leaks no usable timing: the caller does not choose the hash.
+	sum := sha256.Sum256([]byte(key))
+	wsp, ok := idx.byKey[hex.EncodeToString(sum[:])]
+	return wsp, ok
+}
+
+// Share returns the weight of a workspace, 1 for one that is not in the document.
+func (reg *Registry) Share(name string) int {
+	doc := reg.inForce()
+	if doc == nil {
+		return 1
+	}
+	return max(1, reg.index(doc).share[name])
+}
+
+func (reg *Registry) index(doc *document.Document) *index {
 	idx := reg.idx.Load()
 	if idx == nil || idx.doc != doc {
 		idx = newIndex(doc)
 		reg.idx.Store(idx)
 	}
-	// Comparing hashes in a map leaks no usable timing: the caller does not choose the hash.
-	sum := sha256.Sum256([]byte(key))
-	wsp, ok := idx.byKey[hex.EncodeToString(sum[:])]
-	return wsp, ok
+	return idx
 }
 
 func newIndex(doc *document.Document) *index {
 	idx := &index{
 		doc:   doc,
 		byKey: map[string]document.Workspace{},
+		share: map[string]int{},
 	}
 	for _, wsp := range doc.Workspaces {
+		idx.share[wsp.Name] = wsp.Share
 		for _, hsh := range wsp.KeyHashes {
 			idx.byKey[hsh] = wsp
 		}
