Compare policies of the limits and of the choice of a replica

make bench-policy starts daemons and stand-ins as processes and sends the same seeded plan to each policy. The engine stand-in counts the blocks of prompts and those that were cached, for the share of cache hits.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build run test race vet lint format spec bench-relay
+.PHONY: build run test race vet lint format spec bench-relay bench-policy
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -35,3 +35,6 @@
 	$(BIN)/cumintally-standin capacity --binaries $(BIN)
 bench-relay: build
 	$(BIN)/cumintally-standin bench-relay --binaries $(BIN)
+
+bench-policy: build
+	$(BIN)/cumintally-standin bench-policy --binaries $(BIN)
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -96,6 +96,8 @@
 	}
 	sums := backend.Prefixes(prompt)
 	hit := eng.cch.use(sums, time.Now().Add(lag), gap)
+	eng.counts.PromptBlocks += len(sums)
+	eng.counts.CachedBlocks += hit
 	// The rest of the prompt after its last whole block is never cached.
 	all := len(sums) + 1
 	return stretched(flt, eng.cfg.PrefillTime) * time.Duration(all-hit) / time.Duration(all)
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -90,6 +90,9 @@
 	Finished int
 	Aborted  int
 	Refused  int
+	// PromptBlocks is the number of whole blocks of all prompts, CachedBlocks of those that were cached.
+	PromptBlocks int
+	CachedBlocks int
 	// Tokens is the number of tokens generated.
 	Tokens int
 	// ColdMost is the most requests at once, queued ones included, since the engine was last cold.
--- /dev/null
+++ b/internal/standin/experiment/result.go
@@ -0,0 +1,134 @@
+package experiment
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cumintally/cumintally/internal/standin/engine"
+	"github.com/cumintally/cumintally/internal/standin/fleet"
+	"github.com/cumintally/cumintally/internal/standin/load"
+)
+
+// totals are sums over all daemons and engines.
+type totals struct {
+	promptBlocks int
+	cachedBlocks int
+	peerBytes    float64
+	permitCalls  float64
+	expired      float64
+}
+
+func (tot totals) minus(old totals) totals {
+	return totals{
+		promptBlocks: tot.promptBlocks - old.promptBlocks,
+		cachedBlocks: tot.cachedBlocks - old.cachedBlocks,
+		peerBytes:    tot.peerBytes - old.peerBytes,
+		permitCalls:  tot.permitCalls - old.permitCalls,
+		expired:      tot.expired - old.expired,
+	}
+}
+
+func (run *Run) totals(ctx context.Context) (totals, error) {
+	var tot totals
+	for _, eng := range run.fleet.Engines {
+		if eng.Wait(0) {
+			continue
+		}
+		var cnt engine.Counts
+		if err := get(ctx, "http://"+eng.Address+"/counts", "", &cnt); err != nil {
+			return tot, errors.Trace(err)
+		}
+		tot.promptBlocks += cnt.PromptBlocks
+		tot.cachedBlocks += cnt.CachedBlocks
+	}
+	for _, ent := range run.fleet.Entries {
+		met, err := scrape(ctx, ent)
+		if err != nil {
+			return tot, errors.Trace(err)
+		}
+		tot.peerBytes += met["cumintally_PeerBytesSent"]
+		tot.permitCalls += met["cumintally_PermitCalls"]
+		tot.expired += met["cumintally_PermitExpired"]
+	}
+	return tot, nil
+}
+
+// scrape reads a daemon's metrics without labels.
+func scrape(ctx context.Context, ent *fleet.Entry) (map[string]float64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ent.Operators+"/metrics", nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+fleet.OperatorKey)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer res.Body.Close()
+	vals := map[string]float64{}
+	scn := bufio.NewScanner(res.Body)
+	for scn.Scan() {
+		name, text, ok := strings.Cut(scn.Text(), " ")
+		if val, err := strconv.ParseFloat(text, 64); ok && err == nil {
+			vals[name] = val
+		}
+	}
+	return vals, errors.Trace(scn.Err())
+}
+
+type result struct {
+	policy   string
+	entries  int
+	report   *load.Report
+	spent    totals
+	coldMost int
+	// lost is the number of engines that ended, such as cold ones that got more than they bear.
+	lost int
+}
+
+const header = "| policy | in time | rejected | other ends | first token p50/p95/p99 by priority (ms) | between tokens p50/p95/p99 (ms) |" +
+	" cache hits | most at the cold server | engines lost | peer bytes/s a daemon | calls/request | wait for slot lost |\n" +
+	"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+
+func (res *result) write(out io.Writer) {
+	rep := res.report
+	rejected, other := 0, 0
+	for end, num := range rep.Endings {
+		switch {
+		case strings.Contains(end, "NotRun"):
+			rejected += num
+		case end != "Whole":
+			other += num
+		}
+	}
+	var firsts, betweens []string
+	for _, cls := range rep.Classes {
+		firsts = append(firsts, fmt.Sprintf("%d: %s", cls.Priority, show(cls.FirstToken)))
+		betweens = append(betweens, show(cls.BetweenTokens))
+	}
+	fmt.Fprintf(out, "| %s | %.1f%% | %d of %d | %d | %s | %s | %.1f%% | %s | %d | %.0f | %.2f | %.0f |\n",
+		res.policy, 100*rep.InTimeShare, rejected, rep.Sent, other,
+		strings.Join(firsts, "; "), strings.Join(betweens, "; "),
+		100*float64(res.spent.cachedBlocks)/float64(max(1, res.spent.promptBlocks)), res.cold(), res.lost,
+		res.spent.peerBytes/rep.Elapsed.Seconds()/float64(res.entries),
+		res.spent.permitCalls/float64(max(1, rep.Sent)), res.spent.expired)
+}
+
+func (res *result) cold() string {
+	if res.coldMost == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d of %d", res.coldMost, coldLimit)
+}
+
+func show(qnt load.Quantiles) string {
+	return fmt.Sprintf("%d/%d/%d", qnt.P50/time.Millisecond, qnt.P95/time.Millisecond, qnt.P99/time.Millisecond)
+}
--- a/internal/standin/verb/table.go
+++ b/internal/standin/verb/table.go
@@ -21,6 +21,7 @@
 	newCapacity,
 	newLoad,
 	newRelay,
+	newPolicy,
 }
 
 // New returns the cumintally-standin command with all of its subcommands.
