--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 BIN := bin
 
 .PHONY: build run test race vet lint format spec bench-relay fuzz
+.PHONY: build run test race vet lint format spec bench-relay bench-policy
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -45,3 +46,5 @@
 	set -e; for fuzzer in $(FUZZERS); do \
 		$(GO) test $${fuzzer%:*} -run '^$$' -fuzz "^$${fuzzer#*:}$$" -fuzztime $(FUZZTIME); \
 	done
+bench-policy: build
+	$(BIN)/cumintally-standin bench-policy --binaries $(BIN)
