--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,12 @@
 	done
 bench-policy: build
 	$(BIN)/cumintally-standin bench-policy --binaries $(BIN)
+
+bench-control:
+	$(GO) test ./internal/group -run NONE -bench Plan
+	$(GO) test ./internal/generation -run NONE -bench Difference -benchtime 100x
+
+prove-config:
+	$(GO) test ./test/config -v -count=1
+	$(GO) test ./test/config -v -count=1 -run Burst -daemons 32
+	$(GO) test ./test/config -v -count=1 -run Burst -daemons 64
