--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"context"
+	"net/http"
 	"os"
 	"os/exec"
 	"sync"
@@ -124,3 +126,24 @@
 func (prc *Process) Restart() error {
 	return prc.start()
 }
+
+// waitFor asks url until it answers, the process ends, or ctx ends.
+func (prc *Process) waitFor(ctx context.Context, url string) error {
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err == nil {
+			res.Body.Close()
+			return nil
+		}
+		if prc.Wait(20 * time.Millisecond) {
+			return errors.Annotate(ErrEnded, prc.Name)
+		}
+		if ctx.Err() != nil {
+			return errors.Annotatef(err, "wait for %s", prc.Name)
+		}
+	}
+}
