--- a/internal/permit/growth.go
+++ b/internal/permit/growth.go
@@ -16,6 +16,8 @@
 }
 
 func (grw *growth) reset(least int, now time.Time) {
+	// Without a slot no first token would be measured, and the limit could not grow.
+	least = max(1, least)
 	*grw = growth{
 		size:    float64(least),
 		least:   least,
--- a/internal/standin/experiment/policy.go
+++ b/internal/standin/experiment/policy.go
@@ -16,8 +16,8 @@
 // Config is the size of the experiment.
 type Config struct {
 	Binaries string
-	// Folder takes the settings and logs of each run.
-	Folder    string
+	// Logs is the folder that takes the settings and logs of each run.
+	Logs      string
 	Seed      uint64
 	WarmUp    time.Duration
 	Duration  time.Duration
@@ -126,11 +126,10 @@
 }
 
 func (run *Run) run(ctx context.Context, cfg Config) (*result, error) {
-	folder, err := os.MkdirTemp(cfg.Folder, "policy-")
+	folder, err := os.MkdirTemp(cfg.Logs, run.Scenario.Name+"-")
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	defer os.RemoveAll(folder)
 	flt, err := fleet.Start(ctx, fleet.Config{
 		Binaries:       cfg.Binaries,
 		Folder:         folder,
@@ -244,11 +243,12 @@
 	return nil
 }
 
-func (run *Run) lostEngines() int {
-	lost := 0
+// lostEngines returns the engines that have ended, such as cold ones that got more than they bear.
+func (run *Run) lostEngines() []string {
+	var lost []string
 	for _, eng := range run.fleet.Engines {
 		if eng.Wait(0) {
-			lost++
+			lost = append(lost, eng.Name)
 		}
 	}
 	return lost
--- a/internal/standin/experiment/result.go
+++ b/internal/standin/experiment/result.go
@@ -90,12 +90,11 @@
 	report   *load.Report
 	spent    totals
 	coldMost int
-	// lost is the number of engines that ended, such as cold ones that got more than they bear.
-	lost int
+	lost     []string
 }
 
 const header = "| policy | in time | rejected | other ends | first token p50/p95/p99 by priority (ms) | between tokens p50/p95/p99 (ms) |" +
-	" cache hits | most at the cold server | engines lost | peer bytes/s a daemon | calls/request | wait for slot lost |\n" +
+	" cache hits | most at the cold server | engines lost | peer bytes/s a daemon | calls/request | permits expired before sending |\n" +
 	"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"
 
 func (res *result) write(out io.Writer) {
@@ -117,7 +116,7 @@
 	fmt.Fprintf(out, "| %s | %.1f%% | %d of %d | %d | %s | %s | %.1f%% | %s | %d | %.0f | %.2f | %.0f |\n",
 		res.policy, 100*rep.InTimeShare, rejected, rep.Sent, other,
 		strings.Join(firsts, "; "), strings.Join(betweens, "; "),
-		100*float64(res.spent.cachedBlocks)/float64(max(1, res.spent.promptBlocks)), res.cold(), res.lost,
+		100*float64(res.spent.cachedBlocks)/float64(max(1, res.spent.promptBlocks)), res.cold(), len(res.lost),
 		res.spent.peerBytes/rep.Elapsed.Seconds()/float64(res.entries),
 		res.spent.permitCalls/float64(max(1, rep.Sent)), res.spent.expired)
 }
--- a/internal/standin/verb/policy.go
+++ b/internal/standin/verb/policy.go
@@ -31,6 +31,11 @@
 				Value:       "bin",
 				Destination: &opt.cfg.Binaries,
 			},
+			&cli.StringFlag{
+				Name:        "logs",
+				Usage:       "existing folder in which the settings and logs of each run are kept",
+				Destination: &opt.cfg.Logs,
+			},
 			&cli.Uint64Flag{
 				Name:        "seed",
 				Usage:       "seed of the plan of requests",
@@ -67,11 +72,14 @@
 func (opt *policyOptions) run(ctx context.Context, cmd *cli.Command) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if opt.cfg.Logs != "" {
+		return experiment.Compare(ctx, opt.cfg, cmd.Root().Writer)
+	}
 	folder, err := os.MkdirTemp("", "cumintally-policy-")
 	if err != nil {
 		return errors.Trace(err)
 	}
 	defer os.RemoveAll(folder)
-	opt.cfg.Folder = folder
+	opt.cfg.Logs = folder
 	return experiment.Compare(ctx, opt.cfg, cmd.Root().Writer)
 }
