Ask a group's owner again only where it can help

Spare slots go back to the owner when requests wait at another daemon; the test fails without that rule.

In a partition the document's limits of a warm group are divided, not the measured one, which each side follows by its own latencies.

--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -280,7 +280,9 @@
 	case <-flt.tkt.Ready:
 		return nil
 	default:
-		lms.kick(name)
+		if lms.set.Limits.Policy == policyPerRequest || !flt.que.Starved(lms.clk.Now()) {
+			lms.kick(name)
+		}
 	}
 	tmr := lms.clk.NewTimer(flt.tkt.Deadline.Sub(lms.clk.Now()))
 	defer tmr.Stop()
--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -232,7 +232,7 @@
 }
 
 // askAgain spaces calls for a queue that waits at a cold replica, whose few slots change hands often.
-const askAgain = 50 * time.Millisecond
+const askAgain = 100 * time.Millisecond
 
 // answer gives slots to a peer.
 func (lms *limits) answer(_ context.Context, from peer.Identity, body []byte) (any, error) {
--- a/internal/permit/grant.go
+++ b/internal/permit/grant.go
@@ -71,13 +71,17 @@
 // queue has the better claim to the slots that became free at the holder since its last call.
 func (sta *state) reduced(holder string, ask Ask, viw view) int {
 	hold := max(ask.Hold, ask.Running)
-	over := sta.held() - viw.share(sta.limit())
+	over := sta.held() - sta.bound(viw)
 	if sta.obs.Cold {
 		over = max(over, sta.held()+sta.orphaned()-sta.limit())
 	}
 	if over > 0 {
 		return max(0, hold-over)
 	}
+	if sta.queued() > 0 && len(ask.Demand) == 0 {
+		// Spare slots are of use elsewhere.
+		return ask.Running
+	}
 	if ask.Finished == 0 || sta.queued() == 0 {
 		return hold
 	}
--- a/internal/permit/limiter_test.go
+++ b/internal/permit/limiter_test.go
@@ -155,3 +155,13 @@
 		})
 	}
 }
+
+// TestSpareGoesBack guards against slots that stay unused at one daemon while requests wait at another.
+func TestSpareGoesBack(t *testing.T) {
+	own := newOwner(t, false)
+	qt.Assert(t, own.ask("entry-1", 1, permit.Ask{Hold: 2}).Slots, qt.Equals, 2)
+	qt.Assert(t, own.ask("entry-2", 2, permit.Ask{Demand: wants("a", 1, 0, 2)}).Slots, qt.Equals, 0)
+	qt.Assert(t, own.ask("entry-1", 1, permit.Ask{Hold: 2}).Slots, qt.Equals, 0)
+	qt.Assert(t, own.ask("entry-1", 1, permit.Ask{}).Slots, qt.Equals, 0)
+	qt.Assert(t, own.ask("entry-2", 2, permit.Ask{Demand: wants("a", 1, 0, 2)}).Slots, qt.Equals, 2)
+}
--- a/internal/permit/queue/queue.go
+++ b/internal/permit/queue/queue.go
@@ -85,6 +85,8 @@
 	grant   permit.Grant
 	expires time.Time
 	asking  bool
+	// starved says that requests still waited after the last answer, so the owner had no slot for them.
+	starved bool
 	hold    int
 	// own and waiting are the daemon's requests that the owner counted in the grant.
 	own     int
@@ -253,7 +255,16 @@
 	que.lease.grant = *grt
 	que.lease.expires = sentAt.Add(grt.ValidFor)
 	que.admit(now)
-	return len(que.waiting) > 0 && que.sight.Cold
+	que.lease.starved = len(que.waiting) > 0
+	return que.lease.starved && que.sight.Cold
+}
+
+// Starved reports whether asking again before the next renewal is of no use: slots become free where
+// requests end, and the owner divides them anew at each renewal.
+func (que *Queue) Starved(now time.Time) bool {
+	que.mu.Lock()
+	defer que.mu.Unlock()
+	return que.lease.starved && now.Before(que.lease.expires)
 }
 
 // Load returns what is known of the group's load.
--- a/internal/permit/state.go
+++ b/internal/permit/state.go
@@ -157,12 +157,21 @@
 	return min(sta.growth.limit(), sta.obs.WarmLimit)
 }
 
+// bound is the part of the limit that this side of the zone may grant. Each side of a partition measures
+// latencies by itself, so only the document's limits are divided.
+func (sta *state) bound(viw view) int {
+	if sta.obs.Cold {
+		return viw.share(sta.obs.ColdLimit)
+	}
+	return min(sta.growth.limit(), viw.share(sta.obs.WarmLimit))
+}
+
 // free is the number of slots that can be granted beyond those held.
 func (sta *state) free(viw view, now time.Time) int {
 	if sta.obs.Loading || now.Before(sta.noNewBefore) {
 		return 0
 	}
-	free := viw.share(sta.limit()) - sta.held()
+	free := sta.bound(viw) - sta.held()
 	if sta.obs.Cold {
 		// Orphans of unseen daemons fall into the unseen daemons' share, but may be more than it.
 		free = min(free, sta.limit()-sta.held()-sta.orphaned())
