Keep the whole limit when one daemon of three or more is lost

One daemon of three lost took a third of every limit, and a ColdLimit of 1 became 0, so that a cold group of such a model got no request at all. A side with two thirds now grants all and one with a third nothing. TestShare failed with the rule before ('2 of 3 daemons grant 0 of 1') and passes now; it also checks that the sides together never exceed the limit.

--- a/internal/permit/limiter.go
+++ b/internal/permit/limiter.go
@@ -191,10 +191,17 @@
 	}
 }
 
-// share returns the part of a limit that this side may grant.
+// share returns the part of a limit that this side may grant. The parts of any number of sides that
+// cannot see each other add up to one limit at most: a side with two thirds of the daemons may grant all
+// of it, since the others have a third or less and grant nothing. So the loss of one daemon of three or
+// more costs no capacity. Between a third and two thirds a side grants in proportion.
 func (viw *view) share(limit int) int {
-	if viw.known == 0 {
+	switch {
+	case viw.known == 0, 3*viw.seen <= viw.known:
 		return 0
+	case 3*viw.seen >= 2*viw.known:
+		return limit
+	default:
+		return limit * viw.seen / viw.known
 	}
-	return limit * viw.seen / viw.known
 }
--- /dev/null
+++ b/internal/permit/share_test.go
@@ -0,0 +1,36 @@
+package permit
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestShare guards against sides of a partition that together grant more than the limit, and against a
+// limit that shrinks when one daemon of several is lost.
+func TestShare(t *testing.T) {
+	rapid.Check(t, func(rpt *rapid.T) {
+		known := rapid.IntRange(1, 70).Draw(rpt, "known")
+		limit := rapid.IntRange(1, 64).Draw(rpt, "limit")
+		sum := 0
+		for rest := known; rest > 0; {
+			seen := rapid.IntRange(1, rest).Draw(rpt, "side")
+			rest -= seen
+			viw := view{
+				seen:  seen,
+				known: known,
+			}
+			sum += viw.share(limit)
+		}
+		if sum > limit {
+			rpt.Fatalf("the sides grant %d of %d", sum, limit)
+		}
+		viw := view{
+			seen:  known - 1,
+			known: known,
+		}
+		if known >= 3 && viw.share(limit) != limit {
+			rpt.Fatalf("%d of %d daemons grant %d of %d", viw.seen, known, viw.share(limit), limit)
+		}
+	})
+}
