--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -587,3 +587,23 @@
 	qt.Assert(tst, nod.ctr.ord.transmit(tst.Context(), mem, odr), qt.ErrorMatches, ".*ended before the order was sent")
 	qt.Assert(tst, bch.machines["vm-0"].report.Group, qt.Equals, "a/0")
 }
+
+// TestIdleIsSeenBeforeAssignment guards against a VM that joins a group while daemons still count it in
+// its former one, because it was cleared only when its delay had passed.
+func TestIdleIsSeenBeforeAssignment(tst *testing.T) {
+	bch := newBench(tst, 3)
+	nod := bch.node("entry-1")
+	nod.turns(6 * time.Second)
+	bch.machines["vm-0"].silent = true
+	nod.turns(20 * time.Second)
+	qt.Assert(tst, bch.members(), qt.DeepEquals, []string{"vm-2", "vm-1"})
+	bch.machines["vm-1"].silent = true
+	nod.turns(10 * time.Second)
+	// The first report that vm-0 gives is of its former group.
+	bch.machines["vm-0"].silent = false
+	nod.turns(1500 * time.Millisecond)
+	qt.Assert(tst, bch.machines["vm-0"].report.Group, qt.Equals, "")
+	qt.Assert(tst, bch.members(), qt.DeepEquals, []string{"vm-2", "vm-1"})
+	nod.turns(1500 * time.Millisecond)
+	qt.Assert(tst, bch.members(), qt.DeepEquals, []string{"vm-2", "vm-0"})
+}
--- a/internal/controller/observer.go
+++ b/internal/controller/observer.go
@@ -53,6 +53,7 @@
 	released map[group.ReleasedVM]time.Time
 	draining map[drainKey]*drainTimes
 	slow     map[string]time.Time
+	idle     map[string]time.Time
 }
 
 type drainKey struct {
@@ -81,6 +82,7 @@
 		released: map[group.ReleasedVM]time.Time{},
 		draining: map[drainKey]*drainTimes{},
 		slow:     map[string]time.Time{},
+		idle:     map[string]time.Time{},
 	}
 }
 
@@ -123,6 +125,23 @@
 	obs.released = released
 	obs.draining = draining
 	obs.observeSteps(now)
+	obs.observeIdle(now)
+}
+
+// observeIdle notes since when VMs have reported that they follow no order.
+func (obs *observer) observeIdle(now time.Time) {
+	idle := map[string]time.Time{}
+	for _, vmc := range obs.vms() {
+		ent, ok := obs.tab.Lookup(vmc.Name)
+		if !ok || now.Sub(ent.AsOf) > obs.cfg.EvidenceMaxAge || ent.Report.Group != "" {
+			continue
+		}
+		idle[vmc.Name] = now
+		if since, ok := obs.idle[vmc.Name]; ok {
+			idle[vmc.Name] = since
+		}
+	}
+	obs.idle = idle
 }
 
 func place(alc group.Allocation, grp group.Group) group.Place {
@@ -225,6 +244,15 @@
 	return viw
 }
 
+func (obs *observer) isReleased(vm string) bool {
+	for rel := range obs.released {
+		if rel.VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
 func (obs *observer) vmView(vmc platform.VM, now time.Time, mayReplace bool) group.VMView {
 	ent, ok := obs.tab.Lookup(vmc.Name)
 	heard := ent.AsOf
@@ -234,7 +262,10 @@
 	silent := now.Sub(heard)
 	since, slow := obs.slow[vmc.Name]
 	leaving := vmc.State == platform.VMLeaving || (ok && ent.Report.State == backend.StateLeaving)
-	idle := ok && now.Sub(ent.AsOf) <= obs.cfg.EvidenceMaxAge && ent.Report.Group == ""
+	// A daemon may still count the VM in its former group until its evidence of that is too old. A VM that
+	// has taken no order since it started need not wait, so that a new zone forms its groups at once.
+	idleSince, idle := obs.idle[vmc.Name]
+	idle = idle && (now.Sub(idleSince) > obs.cfg.EvidenceMaxAge || (ent.Report.Fencing == 0 && !obs.isReleased(vmc.Name)))
 	return group.VMView{
 		Name:         vmc.Name,
 		FabricDomain: vmc.FabricDomain,
