--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build run test race vet lint format spec
+.PHONY: build run test race vet lint format spec prove-bookings bench-bookings
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -33,3 +33,11 @@
 
 bench-capacity: build
 	$(BIN)/cumintally-standin capacity --binaries $(BIN)
+
+# Makes keyed bookings under failures and prints one line per invariant.
+prove-bookings: build
+	$(GO) test ./test/bookings -count 1 -timeout 20m -run Failures -v -bookings 500 -seeds 4 -seed 1
+
+# Measures the platform's calls and the latency of keyed calls at several rates.
+bench-bookings: build
+	$(GO) test ./test/bookings -count 1 -timeout 20m -run Measure -v -measure 5s
--- /dev/null
+++ b/test/bookings/stops_test.go
@@ -0,0 +1,118 @@
+package bookings_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/standin/fleet"
+	"github.com/cumintally/cumintally/internal/standin/service"
+)
+
+// leavingBound is the time after which a leaving backend server must get no new calls.
+const leavingBound = 3 * time.Second
+
+// TestLeavingServers guards against calls to backend servers that are leaving: one that only says so
+// itself while the platform's list still has it live, and one that only the list knows of. A daemon that
+// was paused when the servers began to leave must not send to them either.
+func TestLeavingServers(t *testing.T) {
+	c := qt.New(t)
+	ctx, flt := start(t, 4, time.Minute)
+	for _, ent := range flt.Entries {
+		waitReady(ctx, t, ent)
+	}
+	var rejected atomic.Int64
+	run, stop := context.WithCancel(ctx)
+	defer stop()
+	var wgr sync.WaitGroup
+	for wrk := range 8 {
+		wgr.Go(func() {
+			for num := 0; run.Err() == nil; num++ {
+				wsh := &wish{reference: fmt.Sprintf("%d-%d", wrk, num)}
+				if att := wsh.request(ctx, flt.Entries[num%len(flt.Entries)]); att.answered && att.status != http.StatusCreated {
+					rejected.Add(1)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	said, listed := flt.Services[0], flt.Services[2]
+	for _, prc := range []*fleet.Process{said, listed} {
+		c.Assert(runsAt(ctx, c, prc) > 0, qt.IsTrue, qt.Commentf("%s got no calls before", prc.Name))
+	}
+	c.Assert(flt.Entries[0].Signal(syscall.SIGSTOP), qt.IsNil)
+	c.Assert(flt.SetFaults(ctx, said, service.Faults{Leaving: true}), qt.IsNil)
+	c.Assert(flt.List(ctx, platform.VM{
+		Name:             listed.Name,
+		AvailabilityZone: "zone-2",
+		Role:             platform.RoleService,
+		Service:          "jobs",
+		Address:          listed.Address,
+		State:            platform.VMLeaving,
+	}), qt.IsNil)
+	time.Sleep(leavingBound)
+	before := []int{runsAt(ctx, c, said), runsAt(ctx, c, listed)}
+	c.Assert(flt.Entries[0].Signal(syscall.SIGCONT), qt.IsNil)
+	time.Sleep(1500 * time.Millisecond)
+	stop()
+	wgr.Wait()
+	c.Assert([]int{runsAt(ctx, c, said), runsAt(ctx, c, listed)}, qt.DeepEquals, before)
+	c.Assert(runsAt(ctx, c, flt.Services[1]) > before[0], qt.IsTrue)
+	c.Assert(rejected.Load(), qt.Equals, int64(0))
+}
+
+// runsAt returns the number of bookings that ran at one service VM.
+func runsAt(ctx context.Context, c *qt.C, prc *fleet.Process) int {
+	runs := map[string]int{}
+	c.Assert(addCounts(ctx, "http://"+prc.Address+"/runs", runs), qt.IsNil)
+	sum := 0
+	for num := range maps.Values(runs) {
+		sum += num
+	}
+	return sum
+}
+
+// TestStopDuringCall guards against a planned stop that interrupts a call or loses its result, also when
+// the platform is out at the end of the call.
+func TestStopDuringCall(t *testing.T) {
+	c := qt.New(t)
+	ctx, flt := start(t, 4, time.Minute)
+	for _, ent := range flt.Entries {
+		waitReady(ctx, t, ent)
+	}
+	for _, svc := range flt.Services {
+		c.Assert(flt.SetFaults(ctx, svc, service.Faults{Delay: 500 * time.Millisecond}), qt.IsNil)
+	}
+	wsh := &wish{
+		reference: "blank-1",
+		key:       "key-1",
+	}
+	answer := make(chan attempt, 1)
+	go func() { answer <- wsh.request(ctx, flt.Entries[0]) }()
+	time.Sleep(200 * time.Millisecond)
+	c.Assert(flt.Entries[0].Signal(syscall.SIGTERM), qt.IsNil)
+	out := map[string]bool{"Out": true}
+	c.Assert(flt.SetFaults(ctx, flt.Platform, out), qt.IsNil)
+	att := <-answer
+	c.Assert(att.status, qt.Equals, http.StatusCreated)
+	again := wsh.request(ctx, flt.Entries[1])
+	c.Assert(again.outcome, qt.Not(qt.Equals), "")
+	c.Assert(flt.SetFaults(ctx, flt.Platform, map[string]bool{}), qt.IsNil)
+	c.Assert(flt.Entries[0].Terminate(10*time.Second), qt.Equals, 0)
+	again = wsh.request(ctx, flt.Entries[1])
+	c.Assert(again.status, qt.Equals, http.StatusCreated)
+	c.Assert(again.receipt, qt.Equals, att.receipt)
+	runs, err := readCounts(ctx, flt)
+	c.Assert(err, qt.IsNil)
+	c.Assert(runs.runs["blank-1"], qt.Equals, 1)
+}
