--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 
 .PHONY: build run test race vet lint format spec bench-relay fuzz
 .PHONY: build run test race vet lint format spec bench-relay bench-policy
+.PHONY: build run test race vet lint format spec prove-bookings bench-bookings
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -57,3 +58,11 @@
 	$(GO) test ./test/config -v -count=1
 	$(GO) test ./test/config -v -count=1 -run Burst -daemons 32
 	$(GO) test ./test/config -v -count=1 -run Burst -daemons 64
+
+# Makes keyed bookings under failures and prints one line per invariant.
+prove-bookings: build
+	$(GO) test ./test/bookings -count 1 -timeout 20m -run Failures -v -bookings 500 -seeds 4 -seed 1
+
+# Measures the platform's calls and the latency of keyed calls at several rates.
+bench-bookings: build
+	$(GO) test ./test/bookings -count 1 -timeout 20m -run Measure -v -measure 5s
