--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -80,13 +80,18 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	scn := bufio.NewScanner(res.Body)
+	return NewStream(res.Body), nil
+}
+
+// NewStream returns a stream that reads server-sent events from body.
+func NewStream(body io.ReadCloser) *Stream {
+	scn := bufio.NewScanner(body)
 	scn.Buffer(make([]byte, 0, 4096), maxEventSize)
 	scn.Split(wholeLines)
 	return &Stream{
-		body: res.Body,
+		body: body,
 		scn:  scn,
-	}, nil
+	}
 }
 
 func (cli *Client) call(ctx context.Context, method, url string, body, answer any) error {
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -65,6 +65,7 @@
 	que *queue.Queue
 	tkt *queue.Ticket
 	grp group.Group
+	req dispatch.Request
 
 	mu       sync.Mutex
 	sent     bool
@@ -116,6 +117,7 @@
 		},
 	}
 	msh.Handle(kindPermit, lms.answer)
+	msh.HandleStream(kindThrough, lms.dispatchFor)
 	return lms
 }
 
@@ -251,6 +253,7 @@
 	flt := &flight{
 		que: que,
 		grp: cand.Group,
+		req: req,
 		tkt: &queue.Ticket{
 			Workspace: req.Workspace,
 			Share:     lms.share(req.Workspace),
@@ -258,6 +261,10 @@
 			Deadline:  now.Add(lms.within(req, now)),
 		},
 	}
+	if lms.remote(cand.Group.Name) {
+		lms.track(req, flt)
+		return func() { lms.release(req.RequestID, flt) }, nil
+	}
 	if wait, err := que.Enter(flt.tkt, now); err != nil {
 		lms.met.rejected.Inc(1)
 		return nil, busy(cand.Group, err.Error(), wait)
@@ -268,11 +275,15 @@
 	}
 	lms.met.admitted.Inc(1)
 	lms.met.wait.Update(lms.clk.Since(now).Microseconds())
+	lms.track(req, flt)
+	return func() { lms.release(req.RequestID, flt) }, nil
+}
+
+func (lms *limits) track(req dispatch.Request, flt *flight) {
 	lms.mu.Lock()
 	lms.flights[req.RequestID] = flt
 	lms.mu.Unlock()
-	lms.rtr.Sent(cand.Group.Name, backend.Prefixes(req.Prompt), lms.clk.Now())
-	return func() { lms.release(req.RequestID, flt) }, nil
+	lms.rtr.Sent(flt.grp.Name, backend.Prefixes(req.Prompt), lms.clk.Now())
 }
 
 func (lms *limits) await(ctx context.Context, flt *flight, name string) error {
@@ -376,6 +387,9 @@
 	if flt == nil {
 		return nil, errors.Annotate(queue.ErrExpired, "no permit")
 	}
+	if lms.remote(flt.grp.Name) {
+		return lms.passOn(ctx, flt, srq)
+	}
 	if err := flt.que.Send(flt.tkt, lms.sight(flt.grp), lms.clk.Now()); err != nil {
 		lms.met.expired.Inc(1)
 		return nil, errors.Trace(err)
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -50,7 +50,7 @@
 		row("Control", "EvidenceMaxAge", "1500ms", "age up to which a VM's report counts, at most 2s", duration(&set.Control.EvidenceMaxAge, 50*time.Millisecond, 2*time.Second)),
 		row("Control", "OrderTimeout", "2s", "time after which an order is no longer valid", duration(&set.Control.OrderTimeout, 100*time.Millisecond, time.Minute)),
 		row("Control", "LeaseDuration", "4s", "duration of the controller's lease", duration(&set.Control.LeaseDuration, 500*time.Millisecond, time.Minute)),
-		row("Limits", "Policy", "Shared", "how limits are divided over daemons", oneOf(&set.Limits.Policy, "Shared", "PerRequest", "Static")),
+		row("Limits", "Policy", "Shared", "how limits are divided over daemons", oneOf(&set.Limits.Policy, "Shared", "PerRequest", "Static", "ThroughOwner")),
 		row("Limits", "ValidFor", "2s", "time for which granted slots are valid", duration(&set.Limits.ValidFor, 200*time.Millisecond, time.Minute)),
 		row("Limits", "Renew", "700ms", "time between two renewals of slots", duration(&set.Limits.Renew, 20*time.Millisecond, 10*time.Second)),
 		row("Limits", "Settle", "2s", "time after which all daemons of a small zone see that one is cut off", duration(&set.Limits.Settle, 100*time.Millisecond, time.Minute)),
--- a/internal/standin/experiment/policy.go
+++ b/internal/standin/experiment/policy.go
@@ -39,6 +39,7 @@
 	{Name: "shared/least-outstanding", Limits: "Shared", Routing: "LeastOutstanding"},
 	{Name: "shared/power-of-two", Limits: "Shared", Routing: "PowerOfTwo"},
 	{Name: "static/score", Limits: "Static", Routing: "Score"},
+	{Name: "through-owner/score", Limits: "ThroughOwner", Routing: "Score"},
 	{Name: "per-request/score", Limits: "PerRequest", Routing: "Score"},
 }
 
