Do not let a caller that goes away make a backend server count as not ready

TestLeavingServers was flaky: 3 to 64 calls rejected as not run after a paused daemon went on, in 5 of 8 runs. The question whether a backend server takes calls ran under the context of the call that asked; callers that had gone away during the pause cancelled it, and the failed answer then held for 200 ms for every other call. Ruled out: the pause's own timeout (a second question right after it changed nothing) and the age of the list of VMs (the log names only the questions).

--- a/internal/servicecall/caller.go
+++ b/internal/servicecall/caller.go
@@ -151,6 +151,7 @@
 // run ends.
 func (cal *Caller) sendTo(ask, run context.Context, adr string, req Request) (Answer, error) {
 	if err := cal.rdy.ask(ask, adr); err != nil {
+		cal.log.Debug("passed over a backend server", zap.String("request", req.RequestID), zap.String("address", adr), zap.Error(err))
 		return Answer{}, errors.Annotate(backend.ErrNotSent, err.Error())
 	}
 	gat := &gate{
--- a/internal/servicecall/readiness.go
+++ b/internal/servicecall/readiness.go
@@ -86,8 +86,13 @@
 	ready, age := srv.last(rdy.clk.Now())
 	if (ready && age > readyFresh) || (!ready && age > unreadyFresh) {
 		asOf := rdy.clk.Now()
-		ready = rdy.question(ctx, adr)
+		// The answer counts for other calls too, so a caller that goes away must not end the question.
+		var err error
+		ready, err = rdy.question(context.WithoutCancel(ctx), adr)
 		srv.set(ready, asOf)
+		if err != nil {
+			return errors.Annotatef(err, "%s does not say whether it takes calls", adr)
+		}
 	}
 	if !ready {
 		return errors.Errorf("%s does not take calls", adr)
@@ -103,20 +108,21 @@
 	return nil
 }
 
-func (rdy *readiness) question(ctx context.Context, adr string) bool {
+// question asks a server once; an error says that it did not answer.
+func (rdy *readiness) question(ctx context.Context, adr string) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+adr+readyPath, nil)
 	if err != nil {
-		return false
+		return false, errors.Trace(err)
 	}
 	res, err := rdy.htc.Do(req)
 	if err != nil {
-		return false
+		return false, errors.Trace(err)
 	}
 	res.Body.Close()
 	// A service without this path says 404; for it the platform's list alone decides.
-	return res.StatusCode < http.StatusInternalServerError
+	return res.StatusCode < http.StatusInternalServerError, nil
 }
 
 func (srv *server) last(now time.Time) (bool, time.Duration) {
