Prove groups on separate processes and replace sooner after an outage

test/groups kills members (rank 0 and rank 1, engines that check and that ignore numbers, with and without a spare VM), pauses the daemon that holds the lease past it while another replaces a member, takes the platform out for 6 s while a member is lost, orders a zone out during an outage, and runs a seeded script of faults. `make prove-groups` prints a line per invariant and the figures.

Cause of two long downtimes and what changed: - A new holder of the lease replaced nobody for 4 s, although its daemon had heard the VMs all along. What counts is how long the daemon has run without a pause, which the observer knows already. - After an outage whichever daemon came first took the lease, and then waited for the orders of the holder before. The holder now gets a quarter of the duration to renew first, and one that finds the lease still its own does not wait for itself.

--- a/Makefile
+++ b/Makefile
@@ -66,3 +66,11 @@
 # Measures the platform's calls and the latency of keyed calls at several rates.
 bench-bookings: build
 	$(GO) test ./test/bookings -count 1 -timeout 20m -run Measure -v -measure 5s
+# prove-groups prints one line per invariant and the figures of the failure tests on processes.
+SEED ?= 1
+prove-groups: SHELL := /bin/bash
+prove-groups:
+	set -o pipefail; CUMINTALLY_PROVE=1 $(GO) test ./internal/group ./internal/lease ./internal/zoneorder -run 'Plan|OneHolder|Orders' \
+		-count=1 -v -rapid.checks=10000 -rapid.seed=$(SEED) | grep -E '^(invariant|FAIL|ok)|_test.go'
+	set -o pipefail; $(GO) test ./test/groups -count=1 -v -args -seed $(SEED) -steps 12 | grep -E '^(invariant|figure|script|FAIL|ok)|_test.go'
+	spec/groups/check.sh
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -62,6 +62,8 @@
 
 	leadingSince time.Time
 	lookedAt     time.Time
+	// clearEpoch is the epoch of the lease in which no order of an earlier holder is left.
+	clearEpoch uint64
 }
 
 // New returns a controller.
@@ -193,9 +195,18 @@
 }
 
 // mayOrder reports whether every order of an earlier holder has passed its deadline. The earlier holder
-// stopped at the end of its lease, so that its last order ends one order timeout later at most.
+// stopped at the end of its lease, so that its last order ends one order timeout later at most. A holder
+// that could not renew for a while and found the lease still its own need not wait again.
 func (ctr *Controller) mayOrder() bool {
-	return ctr.les.Epoch() <= 1 || ctr.clk.Since(ctr.leadingSince) > ctr.cfg.OrderTimeout
+	epoch := ctr.les.Epoch()
+	if epoch <= 1 || epoch == ctr.clearEpoch {
+		return true
+	}
+	if ctr.clk.Since(ctr.leadingSince) <= ctr.cfg.OrderTimeout {
+		return false
+	}
+	ctr.clearEpoch = epoch
+	return true
 }
 
 // askDraining asks the VMs that accept requests for draining groups how much work they have left.
@@ -227,9 +238,8 @@
 func (ctr *Controller) plan(ctx context.Context, doc *document.Document) {
 	now := ctr.clk.Now()
 	alive, listed := ctr.sea.Peers()
-	// A holder that has just begun has not had the time to hear of every VM. One that hears just half of
-	// the daemons replaces no silent VM, since the other half may hear it.
-	mayReplace := now.Sub(ctr.leadingSince) > lostAfter && alive*2 > listed
+	// A holder that hears just half of the daemons replaces no silent VM, since the other half may hear it.
+	mayReplace := alive*2 > listed
 	for _, chg := range group.Plan(ctr.obs.view(doc, now, mayReplace)) {
 		if err := ctr.write(ctx, chg.Allocation); err != nil {
 			ctr.log.Warn("cannot write an allocation", zap.String("domain", chg.Allocation.FabricDomain), zap.Error(err))
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -44,6 +44,9 @@
 	epoch    uint64
 	seen     platform.Object
 	seenAt   time.Time
+	// failed says that the last read failed; notBefore is when another daemon's lease may be taken over.
+	failed    bool
+	notBefore time.Time
 }
 
 // New returns a lease on a zone for the daemon named holder.
@@ -81,6 +84,9 @@
 	}
 	obj, err := les.pst.Get(ctx, platform.KindLease, les.zone)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		les.mu.Lock()
+		les.failed = true
+		les.mu.Unlock()
 		return errors.Trace(err)
 	}
 	rec, free := les.observe(obj)
@@ -123,6 +129,15 @@
 		return rec, true
 	}
 	les.held = false
+	if les.failed {
+		// The holder could not renew in an outage either. It gets the time to renew first, since a new
+		// holder would have to wait for the orders of the old one.
+		les.failed = false
+		les.notBefore = les.clk.Now().Add(les.duration / 4)
+	}
+	if les.clk.Now().Before(les.notBefore) {
+		return rec, false
+	}
 	return rec, rec.Holder == "" || les.clk.Since(les.seenAt) > max(rec.Duration, les.duration)
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -158,3 +158,37 @@
 	qt.Assert(tst, successor.Acquire(tst.Context()), qt.IsNil)
 	qt.Assert(tst, successor.Held(), qt.IsTrue)
 }
+
+// TestHolderRenewsFirstAfterOutage guards against a change of the holder after each outage, for which the
+// new one waits until the orders of the old one have expired.
+func TestHolderRenewsFirstAfterOutage(tst *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pst := standin.NewStore().Platform()
+	out := false
+	flaky := pst
+	flaky.Get = func(ctx context.Context, kind, name string) (platform.Object, error) {
+		if out {
+			return platform.Object{}, platform.ErrUnavailable
+		}
+		return pst.Get(ctx, kind, name)
+	}
+	fst := New("zone", "entry-1", duration, flaky, clk)
+	snd := New("zone", "entry-2", duration, flaky, clk)
+	qt.Assert(tst, fst.Acquire(tst.Context()), qt.IsNil)
+	qt.Assert(tst, snd.Acquire(tst.Context()), qt.IsNil)
+	out = true
+	clk.Advance(2 * duration)
+	qt.Assert(tst, snd.Acquire(tst.Context()), qt.ErrorIs, platform.ErrUnavailable)
+	out = false
+	qt.Assert(tst, snd.Acquire(tst.Context()), qt.IsNil)
+	qt.Assert(tst, snd.Held(), qt.IsFalse)
+	clk.Advance(duration / 8)
+	qt.Assert(tst, fst.Acquire(tst.Context()), qt.IsNil)
+	qt.Assert(tst, fst.Held(), qt.IsTrue)
+	// A holder that is gone does not keep the lease for it.
+	clk.Advance(duration + duration/4)
+	qt.Assert(tst, snd.Acquire(tst.Context()), qt.IsNil)
+	clk.Advance(duration + time.Millisecond)
+	qt.Assert(tst, snd.Acquire(tst.Context()), qt.IsNil)
+	qt.Assert(tst, snd.Held(), qt.IsTrue)
+}
--- /dev/null
+++ b/test/groups/groups_test.go
@@ -0,0 +1,211 @@
+package groups_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cumintally/cumintally/internal/group"
+	"github.com/cumintally/cumintally/internal/inventory"
+	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/standin/fleet"
+	standin "github.com/cumintally/cumintally/internal/standin/platform"
+)
+
+var (
+	seed  = flag.Uint64("seed", 1, "seed of the fault script")
+	steps = flag.Int("steps", 6, "number of faults of the fault script")
+)
+
+func TestMain(run *testing.M) {
+	flag.Parse()
+	bin, err := fleet.Build()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := run.Run()
+	os.RemoveAll(bin)
+	os.Exit(code)
+}
+
+// TestMemberKilledWithSpare guards against a group that stays broken beside a spare VM, for engines that
+// check fencing numbers and for those that ignore them, and against a group that is dispatched to on old
+// reports: rank 0 itself reports the loss of another member, but nobody reports the loss of rank 0.
+func TestMemberKilledWithSpare(tst *testing.T) {
+	tst.Parallel()
+	for rank, args := range [][]string{nil, {"--ignore-fencing"}} {
+		tst.Run(fmt.Sprint(args), func(tst *testing.T) {
+			tst.Parallel()
+			ctx, flt := start(tst, 3, 1, args...)
+			wat := newWatch(ctx, tst, flt, 1)
+			// A daemon that has just started replaces nobody before it had the time to hear of every VM.
+			time.Sleep(4 * time.Second)
+			lost := members(ctx, tst, flt.Entries[0], "a/0")[rank]
+			wat.kill(lost)
+			until(ctx, tst, "replaced", func() bool { return !slices.Contains(members(ctx, tst, flt.Entries[0], "a/0"), lost) })
+			qt.Assert(tst, fleet.WaitServing(ctx, flt.Entries[0], 1), qt.IsNil)
+			down := wat.finish("member-killed-with-spare")
+			qt.Assert(tst, down < 8*time.Second, qt.IsTrue)
+		})
+	}
+}
+
+// TestMemberKilledWithoutSpare guards against a group that is given up without a spare VM, although its
+// member comes back.
+func TestMemberKilledWithoutSpare(tst *testing.T) {
+	tst.Parallel()
+	ctx, flt := start(tst, 2, 1)
+	wat := newWatch(ctx, tst, flt, 1)
+	was := members(ctx, tst, flt.Entries[0], "a/0")
+	wat.kill(was[0])
+	until(ctx, tst, "a reason in status", func() bool {
+		sta, err := fleet.Status(ctx, flt.Entries[0])
+		return err == nil && len(sta.Unmet) == 1
+	})
+	wat.restart(was[0])
+	took := until(ctx, tst, "serving again", func() bool {
+		sta, err := fleet.Status(ctx, flt.Entries[0])
+		return err == nil && len(sta.Groups) == 1 && sta.Groups[0].Serving
+	})
+	qt.Assert(tst, members(ctx, tst, flt.Entries[0], "a/0"), qt.DeepEquals, was)
+	fmt.Printf("figure test=member-killed-without-spare serving-after-return=%.1fs\n", took.Seconds())
+	wat.finish("member-killed-without-spare")
+	qt.Assert(tst, took < 5*time.Second, qt.IsTrue)
+}
+
+// TestControllerPaused guards against a controller that was paused past its lease, during which another
+// one replaced a member, and that then writes or orders from what it knew before.
+func TestControllerPaused(tst *testing.T) {
+	tst.Parallel()
+	ctx, flt := start(tst, 3, 1, "--ignore-fencing")
+	wat := newWatch(ctx, tst, flt, 1)
+	old := holder(ctx, tst, flt)
+	other := others(flt, old)
+	wat.pause(old.Name, true)
+	qt.Assert(tst, old.Signal(syscall.SIGSTOP), qt.IsNil)
+	lost := members(ctx, tst, other, "a/0")[0]
+	wat.kill(lost)
+	took := until(ctx, tst, "replaced by the next holder", func() bool { return !slices.Contains(members(ctx, tst, other, "a/0"), lost) })
+	qt.Assert(tst, holder(ctx, tst, flt).Name, qt.Not(qt.Equals), old.Name)
+	qt.Assert(tst, fleet.WaitServing(ctx, other, 1), qt.IsNil)
+	after := members(ctx, tst, other, "a/0")
+	var before group.Allocation
+	object(ctx, tst, flt, platform.KindAllocation, zoneName+"-fabric-1", &before)
+	qt.Assert(tst, old.Signal(syscall.SIGCONT), qt.IsNil)
+	wat.pause(old.Name, false)
+	time.Sleep(5 * time.Second)
+	var now group.Allocation
+	object(ctx, tst, flt, platform.KindAllocation, zoneName+"-fabric-1", &now)
+	qt.Assert(tst, now.Counter, qt.Equals, before.Counter)
+	for _, ent := range flt.Entries {
+		qt.Assert(tst, fleet.WaitServing(ctx, ent, 1), qt.IsNil)
+		qt.Assert(tst, members(ctx, tst, ent, "a/0"), qt.DeepEquals, after)
+	}
+	fmt.Printf("figure test=controller-paused replaced-after=%.1fs\n", took.Seconds())
+	wat.finish("controller-paused")
+}
+
+// TestOutageDuringLoss guards against an outage of the platform that stops groups which are whole, and
+// against a member that is not replaced once the platform is back.
+func TestOutageDuringLoss(tst *testing.T) {
+	tst.Parallel()
+	ctx, flt := start(tst, 5, 2)
+	wat := newWatch(ctx, tst, flt, 2)
+	time.Sleep(4 * time.Second)
+	qt.Assert(tst, flt.SetFaults(ctx, flt.Platform, standin.Faults{Out: true}), qt.IsNil)
+	lost := members(ctx, tst, flt.Entries[0], "a/0")[0]
+	whole := members(ctx, tst, flt.Entries[0], "a/1")
+	wat.kill(lost)
+	time.Sleep(6 * time.Second)
+	qt.Assert(tst, members(ctx, tst, flt.Entries[0], "a/1"), qt.DeepEquals, whole)
+	qt.Assert(tst, flt.SetFaults(ctx, flt.Platform, standin.Faults{}), qt.IsNil)
+	took := until(ctx, tst, "replaced after the outage", func() bool { return !slices.Contains(members(ctx, tst, flt.Entries[0], "a/0"), lost) })
+	qt.Assert(tst, fleet.WaitServing(ctx, flt.Entries[0], 2), qt.IsNil)
+	fmt.Printf("figure test=outage-during-loss replaced-after-outage=%.1fs\n", took.Seconds())
+	wat.finish("outage-during-loss")
+	qt.Assert(tst, wat.down["a/1"], qt.Equals, time.Duration(0))
+}
+
+// TestZoneOrderDuringOutage guards against an order to take a zone out that is not in effect at every
+// daemon in time while the platform is out, or that is not written to the platform afterwards.
+func TestZoneOrderDuringOutage(tst *testing.T) {
+	tst.Parallel()
+	ctx, flt := start(tst, 2, 1)
+	for idx, out := range []bool{true, false} {
+		qt.Assert(tst, flt.SetFaults(ctx, flt.Platform, standin.Faults{Out: idx == 0}), qt.IsNil)
+		began := time.Now()
+		body := fmt.Appendf(nil, `{"Out":%v}`, out)
+		var zon inventory.Zone
+		qt.Assert(tst, fleet.Operate(ctx, flt.Entries[idx], http.MethodPost, "/zones/"+zoneName, body, &zon), qt.IsNil)
+		for _, ent := range flt.Entries {
+			until(ctx, tst, "in effect", func() bool {
+				sta, err := fleet.Status(ctx, ent)
+				return err == nil && sta.ZoneOut == out
+			})
+		}
+		took := time.Since(began)
+		fmt.Printf("figure test=zone-order platform-out=%v out=%v in-effect-after=%.2fs\n", idx == 0, out, took.Seconds())
+		qt.Assert(tst, took < 3*time.Second, qt.IsTrue)
+		qt.Assert(tst, flt.SetFaults(ctx, flt.Platform, standin.Faults{}), qt.IsNil)
+		written := until(ctx, tst, "written to the platform", func() bool {
+			var held inventory.Zone
+			req, err := http.Get("http://" + flt.Platform.Address + "/objects/Zone/" + zoneName)
+			if err != nil || req.StatusCode != http.StatusOK {
+				return false
+			}
+			req.Body.Close()
+			object(ctx, tst, flt, platform.KindZone, zoneName, &held)
+			return held == zon
+		})
+		fmt.Printf("figure test=zone-order written-after=%.1fs\n", written.Seconds())
+	}
+}
+
+// TestFaultScript guards against violations in combinations of faults that no other test names. The seed
+// fixes the script.
+func TestFaultScript(tst *testing.T) {
+	tst.Parallel()
+	ctx, flt := start(tst, 6, 2, "--ignore-fencing")
+	wat := newWatch(ctx, tst, flt, 2)
+	rnd := rand.New(rand.NewPCG(*seed, 0))
+	for step := range *steps {
+		eng := flt.Engines[rnd.IntN(len(flt.Engines))]
+		ent := flt.Entries[rnd.IntN(len(flt.Entries))]
+		hold := time.Duration(500+rnd.IntN(4500)) * time.Millisecond
+		fault := []string{"kill", "kill", "pause-engine", "pause-daemon", "outage"}[rnd.IntN(5)]
+		fmt.Printf("script seed=%d step=%d fault=%s vm=%s daemon=%s hold=%v\n", *seed, step, fault, eng.Name, ent.Name, hold)
+		switch fault {
+		case "kill":
+			wat.kill(eng.Name)
+			time.Sleep(hold)
+			wat.restart(eng.Name)
+		case "pause-engine":
+			qt.Assert(tst, eng.Signal(syscall.SIGSTOP), qt.IsNil)
+			time.Sleep(hold)
+			qt.Assert(tst, eng.Signal(syscall.SIGCONT), qt.IsNil)
+		case "pause-daemon":
+			wat.pause(ent.Name, true)
+			qt.Assert(tst, ent.Signal(syscall.SIGSTOP), qt.IsNil)
+			time.Sleep(hold)
+			qt.Assert(tst, ent.Signal(syscall.SIGCONT), qt.IsNil)
+			wat.pause(ent.Name, false)
+		case "outage":
+			qt.Assert(tst, flt.SetFaults(ctx, flt.Platform, standin.Faults{Out: true}), qt.IsNil)
+			time.Sleep(hold)
+			qt.Assert(tst, flt.SetFaults(ctx, flt.Platform, standin.Faults{}), qt.IsNil)
+		}
+	}
+	for _, ent := range flt.Entries {
+		qt.Assert(tst, fleet.WaitServing(ctx, ent, 2), qt.IsNil)
+	}
+	wat.finish("fault-script")
+}
