Keep a warm group's slots when its owner changes

A new owner started from ColdLimit and took back what the earlier owner had granted beyond it, so that a warm group fell to ColdLimit and grew again by 2 slots in 500 ms whenever a daemon joined, left or was lost. Until its view has settled the new owner now leaves the slots in use as they are and starts from their sum. TestTakeoverKeepsSlots failed before.

--- a/internal/permit/grant.go
+++ b/internal/permit/grant.go
@@ -22,6 +22,10 @@
 	}
 	sta.holders[holder] = hol
 	if !sta.obs.Cold {
+		if now.Before(sta.noNewBefore) {
+			// The slots in use were granted by an earlier owner, whose limit is not known here.
+			sta.growth.raise(min(sta.held(), sta.obs.WarmLimit))
+		}
 		used := sta.queued() > 0 || 10*sta.running() >= 8*sta.limit()
 		sta.growth.measure(sta.cfg, ask, used, sta.obs.WarmLimit, now)
 	}
@@ -58,7 +62,7 @@
 	hold := max(ask.Hold, ask.Running)
 	free := sta.free(viw, now)
 	if free == 0 {
-		return sta.reduced(holder, ask, viw)
+		return sta.reduced(holder, ask, viw, now)
 	}
 	won, left := sta.divide(holder, free)
 	if !sta.obs.Cold && left > 0 && hold+won-ask.Running < sta.cfg.Spare {
@@ -69,8 +73,12 @@
 
 // reduced takes slots back from a holder when the limit is below what is held, or when another daemon's
 // queue has the better claim to the slots that became free at the holder since its last call.
-func (sta *state) reduced(holder string, ask Ask, viw view) int {
+func (sta *state) reduced(holder string, ask Ask, viw view, now time.Time) int {
 	hold := max(ask.Hold, ask.Running)
+	if !sta.obs.Cold && now.Before(sta.noNewBefore) {
+		// The view has not settled since the owner changed, so it says too little to take slots back.
+		return hold
+	}
 	over := sta.held() - sta.bound(viw)
 	if sta.obs.Cold {
 		over = max(over, sta.held()+sta.orphaned()-sta.limit())
--- a/internal/permit/growth.go
+++ b/internal/permit/growth.go
@@ -25,6 +25,11 @@
 	}
 }
 
+// raise starts from what is in use, when another daemon's limit is taken over.
+func (grw *growth) raise(used int) {
+	grw.size = max(grw.size, float64(used))
+}
+
 func (grw *growth) limit() int {
 	return int(grw.size)
 }
--- a/internal/permit/limiter_test.go
+++ b/internal/permit/limiter_test.go
@@ -78,6 +78,18 @@
 	qt.Assert(t, own.ask("entry-2", 2, permit.Ask{Demand: wants("a", 1, 0, 5)}).Slots, qt.Equals, 2)
 }
 
+// TestTakeoverKeepsSlots guards against a warm group that falls back to ColdLimit when its owner changes.
+func TestTakeoverKeepsSlots(t *testing.T) {
+	own := newOwner(t, false)
+	own.now = own.now.Add(3 * time.Second)
+	own.pass(step)
+	for range 4 {
+		own.pass(2 * time.Second)
+		qt.Assert(t, own.ask("entry-1", 1, permit.Ask{Running: 4, Hold: 5, Demand: wants("a", 1, 0, 1)}).Slots >= 5, qt.IsTrue)
+		qt.Assert(t, own.ask("entry-2", 2, permit.Ask{Running: 5, Hold: 5, Demand: wants("a", 1, 0, 1)}).Slots >= 5, qt.IsTrue)
+	}
+}
+
 // TestRestartedHolder guards against forgetting the requests of a daemon that crashed and came back, which
 // still run at the engine.
 func TestRestartedHolder(t *testing.T) {
