Drop hints of a replica that lost its cache; compare policies when a daemon is lost

After a replica turned cold the daemons went on to send prompts to it for prefixes that it no longer had. bench-policy has a scenario in which a daemon is killed.

--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -249,7 +249,9 @@
 func (lms *limits) acquire(ctx context.Context, req dispatch.Request, cand dispatch.Candidate) (func(), error) {
 	now := lms.clk.Now()
 	que := lms.queue(cand.Group.Name)
-	que.See(lms.sight(cand.Group))
+	if que.See(lms.sight(cand.Group)) {
+		lms.rtr.Lost(cand.Group.Name)
+	}
 	flt := &flight{
 		que: que,
 		grp: cand.Group,
--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -103,7 +103,9 @@
 				continue
 			}
 			delete(dissolved, grp.Name)
-			lms.queue(grp.Name).See(lms.sight(grp))
+			if lms.queue(grp.Name).See(lms.sight(grp)) {
+				lms.rtr.Lost(grp.Name)
+			}
 			lms.observe(grp, names, now)
 		}
 	}
--- a/internal/permit/queue/queue.go
+++ b/internal/permit/queue/queue.go
@@ -115,11 +115,14 @@
 	}
 }
 
-// See takes a report of the group's rank 0; an older one than the last is ignored.
-func (que *Queue) See(sgt Sight) {
+// See takes a report of the group's rank 0; an older one than the last is ignored. It reports whether the
+// engine started anew or turned cold, and so lost its cache.
+func (que *Queue) See(sgt Sight) bool {
 	que.mu.Lock()
 	defer que.mu.Unlock()
+	old := que.sight
 	que.see(sgt)
+	return que.sight.Incarnation != old.Incarnation || que.sight.Cold && !old.Cold
 }
 
 func (que *Queue) see(sgt Sight) {
--- a/internal/standin/experiment/disturb.go
+++ b/internal/standin/experiment/disturb.go
@@ -75,6 +75,10 @@
 	return run.fleet.SetFaults(ctx, eng.Process, engine.Faults{Stretch: 3})
 }
 
+func killDaemon(_ context.Context, run *Run) error {
+	return run.fleet.Entries[0].Kill()
+}
+
 func zoneOut(ctx context.Context, run *Run) error {
 	return run.orderZone(ctx, `{"Out":true}`)
 }
--- a/internal/standin/experiment/policy.go
+++ b/internal/standin/experiment/policy.go
@@ -59,6 +59,7 @@
 	{Name: "steady-120", Load: 1.2, Zones: 1},
 	{Name: "turns-cold", Load: 0.6, Zones: 1, Disturb: turnCold},
 	{Name: "straggler", Load: 0.6, Zones: 1, Disturb: slowDown},
+	{Name: "daemon-lost", Load: 0.6, Zones: 1, Disturb: killDaemon},
 	{Name: "zone-out", Load: 0.4, Zones: 2, Disturb: zoneOut, Restore: zoneIn},
 }
 
@@ -248,7 +249,7 @@
 func (run *Run) lostEngines() []string {
 	var lost []string
 	for _, eng := range run.fleet.Engines {
-		if eng.Wait(0) {
+		if eng.Wait(time.Millisecond) {
 			lost = append(lost, eng.Name)
 		}
 	}
--- a/internal/standin/experiment/result.go
+++ b/internal/standin/experiment/result.go
@@ -39,7 +39,7 @@
 func (run *Run) totals(ctx context.Context) (totals, error) {
 	var tot totals
 	for _, eng := range run.fleet.Engines {
-		if eng.Wait(0) {
+		if eng.Wait(time.Millisecond) {
 			continue
 		}
 		var cnt engine.Counts
@@ -50,6 +50,9 @@
 		tot.cachedBlocks += cnt.CachedBlocks
 	}
 	for _, ent := range run.fleet.Entries {
+		if ent.Wait(time.Millisecond) {
+			continue
+		}
 		met, err := scrape(ctx, ent)
 		if err != nil {
 			return tot, errors.Trace(err)
