Tell a group's owner when a queue has become empty

The owner gives free slots to the best claim among the queues that it was last told of. A daemon whose queue had become empty and that held no slot did not ask again, so its old claim kept slots from others until it expired after ValidFor. TestTellsEmptyQueue failed before.

--- a/internal/permit/queue/queue.go
+++ b/internal/permit/queue/queue.go
@@ -209,7 +209,9 @@
 	que.mu.Lock()
 	defer que.mu.Unlock()
 	que.expire(now)
-	if len(que.waiting) == 0 && que.admitted == 0 && que.usable(now) == 0 || que.lease.asking {
+	// A queue that has become empty is told as well, since the owner keeps slots for what it was told of.
+	idle := len(que.waiting) == 0 && que.admitted == 0 && que.usable(now) == 0 && que.lease.waiting == 0
+	if idle || que.lease.asking {
 		return permit.Ask{}, false
 	}
 	que.lease.hold = que.keep(now)
--- a/internal/permit/queue/queue_test.go
+++ b/internal/permit/queue/queue_test.go
@@ -107,3 +107,20 @@
 		})
 	}
 }
+
+// TestTellsEmptyQueue guards against slots that the owner keeps for requests that no longer wait.
+func TestTellsEmptyQueue(t *testing.T) {
+	que := newQueue(0, true)
+	tkt := enter(t, que, "polishing", 1, 0, time.Minute)
+	ask, due := que.Ask("recipes-1/0", start)
+	qt.Assert(t, due, qt.IsTrue)
+	qt.Assert(t, ask.Demand, qt.HasLen, 1)
+	que.Take(&permit.Grant{Incarnation: 7, Cold: true, ValidFor: time.Second}, start, start)
+	que.End(tkt, start)
+	ask, due = que.Ask("recipes-1/0", start)
+	qt.Assert(t, due, qt.IsTrue)
+	qt.Assert(t, ask.Demand, qt.HasLen, 0)
+	que.Take(&permit.Grant{Incarnation: 7, Cold: true, ValidFor: time.Second}, start, start)
+	_, due = que.Ask("recipes-1/0", start)
+	qt.Assert(t, due, qt.IsFalse)
+}
