--- a/internal/permit/queue/queue.go
+++ b/internal/permit/queue/queue.go
@@ -115,11 +115,14 @@
 	}
 }
 
-// See takes a report of the group's rank 0; an older one than the last is ignored.
-func (que *Queue) See(sgt Sight) {
+// See takes a report of the group's rank 0; an older one than the last is ignored. It reports whether the
+// engine started anew or turned cold, and so lost its cache.
+func (que *Queue) See(sgt Sight) bool {
 	que.mu.Lock()
 	defer que.mu.Unlock()
+	old := que.sight
 	que.see(sgt)
+	return que.sight.Incarnation != old.Incarnation || que.sight.Cold && !old.Cold
 }
 
 func (que *Queue) see(sgt Sight) {
@@ -206,7 +209,9 @@
 	que.mu.Lock()
 	defer que.mu.Unlock()
 	que.expire(now)
-	if len(que.waiting) == 0 && que.admitted == 0 && que.usable(now) == 0 || que.lease.asking {
+	// A queue that has become empty is told as well, since the owner keeps slots for what it was told of.
+	idle := len(que.waiting) == 0 && que.admitted == 0 && que.usable(now) == 0 && que.lease.waiting == 0
+	if idle || que.lease.asking {
 		return permit.Ask{}, false
 	}
 	que.lease.hold = que.keep(now)
