Cut processes of a test fleet apart; let daemons dial from their own address

Failure tests could stop, pause and slow processes, but not cut them apart. cumintally-standin link relays the connections to every process at an address of its own in 127.0.0.0/8 and refuses or drops them between IP prefixes, in one or both directions, switched at run time. Namespaces and firewall rules were ruled out: they need rights and tools that tests must not need.

A relay knows who connects by the source IP, so a daemon now dials from the IP of its peer listener, which a VM with several interfaces wants too; [Listen] Source overrides it and AdvertisePeers names the address of a relay or address translation in front of it. The port is chosen at connect (IP_BIND_ADDRESS_NO_PORT): bound earlier it would be taken for all targets together.

A fleet without links listens on 127.0.0.1 as before.

--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -14,9 +14,10 @@
 // watchMargin is added to the platform's own wait of a watch before the call is given up.
 const watchMargin = 20 * time.Second
 
-func newPlatformStore(set *settings.Settings, met metrics.Registry) platform.Store {
+func newPlatformStore(set *settings.Settings, met metrics.Registry, dil dial) platform.Store {
 	htc := &http.Client{
 		Transport: &http.Transport{
+			DialContext:         dil,
 			MaxIdleConnsPerHost: 16,
 		},
 	}
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"net/http"
 
 	"github.com/jonboulle/clockwork"
@@ -22,6 +23,7 @@
 var providers = []any{
 	clockwork.NewRealClock,
 	newRegistry,
+	newDial,
 	newPlatformStore,
 	newBackend,
 	newMesh,
@@ -52,22 +54,25 @@
 	return metrics.NewRegistry()
 }
 
-func newBackend() *backend.Client {
+func newBackend(dil dial) *backend.Client {
 	return backend.New(&http.Client{
 		Transport: &http.Transport{
+			DialContext:         dil,
 			MaxIdleConnsPerHost: 64,
 			DisableCompression:  true,
 		},
 	})
 }
 
-func newMesh(set *settings.Settings, met metrics.Registry, log *zap.Logger) *peer.Mesh {
+func newMesh(set *settings.Settings, met metrics.Registry, dil dial, log *zap.Logger) *peer.Mesh {
 	ide := peer.Identity{
 		Name:             set.Entry.Name,
 		AvailabilityZone: set.Entry.AvailabilityZone,
-		Address:          set.Listen.Peers,
+		Address:          cmp.Or(set.Listen.AdvertisePeers, set.Listen.Peers),
 	}
-	return peer.New(ide, []byte(set.Peers.Key), met, log)
+	msh := peer.New(ide, []byte(set.Peers.Key), met, log)
+	msh.Dial = dil
+	return msh
 }
 
 func newMembership(set *settings.Settings, msh *peer.Mesh, inv *inventory.Inventory, clk clockwork.Clock, log *zap.Logger) *zone.Membership {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -26,6 +27,9 @@
 
 // Mesh holds the connections of one daemon to its peers.
 type Mesh struct {
+	// Dial opens connections to peers in place of net.Dialer; it is set before the first call.
+	Dial func(ctx context.Context, network, adr string) (net.Conn, error)
+
 	self Identity
 	key  []byte
 	log  *zap.Logger
@@ -45,11 +49,11 @@
 // New returns a mesh for the daemon self; all daemons of an environment share key. The registry gets
 // the counters of bytes sent to and received from peers.
 func New(self Identity, key []byte, reg metrics.Registry, log *zap.Logger) *Mesh {
-	return &Mesh{
+	msh := &Mesh{
+		Dial:     (&net.Dialer{}).DialContext,
 		self:     self,
 		key:      key,
 		log:      log.Named("peer"),
-		htc:      &http.Client{},
 		sent:     metrics.GetOrRegisterCounter("PeerBytesSent", reg),
 		received: metrics.GetOrRegisterCounter("PeerBytesReceived", reg),
 		handlers: map[string]Handler{},
@@ -57,6 +61,12 @@
 		outgoing: map[string]*link{},
 		links:    map[*link]struct{}{},
 	}
+	msh.htc = &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, adr string) (net.Conn, error) { return msh.Dial(ctx, network, adr) },
+		},
+	}
+	return msh
 }
 
 // Self returns the daemon's own identity.
--- a/internal/servicecall/caller.go
+++ b/internal/servicecall/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"path"
 	"strings"
@@ -59,6 +60,9 @@
 
 // Caller sends calls to the backend servers of plain services.
 type Caller struct {
+	// Dial opens connections to backend servers in place of net.Dialer; it is set before the first call.
+	Dial func(ctx context.Context, network, adr string) (net.Conn, error)
+
 	zone    string
 	led     Ledger
 	rdy     *readiness
@@ -71,15 +75,17 @@
 // New returns a caller that prefers backend servers of the given availability zone; vms returns the VMs
 // that may get work.
 func New(zone string, led Ledger, vms func() []platform.VM, inForce func() *document.Document, clk clockwork.Clock, log *zap.Logger) *Caller {
-	return &Caller{
+	cal := &Caller{
+		Dial:    (&net.Dialer{}).DialContext,
 		zone:    zone,
 		led:     led,
-		rdy:     newReadiness(clk),
 		clk:     clk,
 		log:     log.Named("servicecall"),
 		vms:     vms,
 		inForce: inForce,
 	}
+	cal.rdy = newReadiness(clk, func(ctx context.Context, network, adr string) (net.Conn, error) { return cal.Dial(ctx, network, adr) })
+	return cal
 }
 
 // Call runs a call and returns the service's answer, or a *refusal.Refusal.
@@ -155,6 +161,7 @@
 	}
 	gat := &gate{
 		check: func() error { return cal.mayStart(ask, adr, req) },
+		dial:  cal.Dial,
 	}
 	ans, err := send(ask, run, gat, adr, req)
 	if err != nil {
--- a/internal/servicecall/gate.go
+++ b/internal/servicecall/gate.go
@@ -13,6 +13,8 @@
 type gate struct {
 	// check is asked at the moment of sending; an error keeps the gate shut.
 	check func() error
+	// dial opens the call's connection; nil stands for a plain net.Dialer.
+	dial dialFunc
 
 	mu    sync.Mutex
 	state gateState
--- a/internal/servicecall/readiness.go
+++ b/internal/servicecall/readiness.go
@@ -42,10 +42,11 @@
 	asOf  time.Time
 }
 
-func newReadiness(clk clockwork.Clock) *readiness {
+func newReadiness(clk clockwork.Clock, dial dialFunc) *readiness {
 	return &readiness{
 		htc: &http.Client{
 			Transport: &http.Transport{
+				DialContext:         dial,
 				MaxIdleConnsPerHost: 1,
 				IdleConnTimeout:     time.Minute,
 			},
--- a/internal/servicecall/send.go
+++ b/internal/servicecall/send.go
@@ -27,10 +27,7 @@
 	if err != nil {
 		return Answer{}, errors.Annotate(backend.ErrNotSent, err.Error())
 	}
-	dlr := net.Dialer{
-		Timeout: dialTimeout,
-	}
-	con, err := dlr.DialContext(ask, "tcp", adr)
+	con, err := connect(ask, gat.dial, adr)
 	if err != nil {
 		return Answer{}, errors.Annotate(backend.ErrNotSent, err.Error())
 	}
@@ -60,6 +57,18 @@
 	}, nil
 }
 
+// dialFunc opens a connection, as net.Dialer.DialContext does.
+type dialFunc func(ctx context.Context, network, adr string) (net.Conn, error)
+
+func connect(ctx context.Context, dial dialFunc, adr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return dial(ctx, "tcp", adr)
+}
+
 // transport returns a transport that has only the given connection: net/http sends a call on a reused
 // connection again by itself when the connection breaks and the call has an Idempotency-Key or no body.
 func transport(con net.Conn) *http.Transport {
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -33,6 +33,8 @@
 		row("Listen", "Callers", "127.0.0.1:8080", "address for callers", address(&set.Listen.Callers)),
 		row("Listen", "Operators", "127.0.0.1:8081", "address for operators and metrics", address(&set.Listen.Operators)),
 		row("Listen", "Peers", "127.0.0.1:8082", "address for other daemons", address(&set.Listen.Peers)),
+		row("Listen", "AdvertisePeers", "", "address at which other daemons reach Peers, if it differs", optional(address(&set.Listen.AdvertisePeers))),
+		row("Listen", "Source", "", "IP of outgoing connections, if it is not that of Peers", optional(ip(&set.Listen.Source))),
 		row("Platform", "Address", "127.0.0.1:7000", "address of the platform's object API", address(&set.Platform.Address)),
 		row("Platform", "Timeout", "2s", "longest time of one call to the platform", duration(&set.Platform.Timeout, 10*time.Millisecond, time.Minute)),
 		hidden(row("Peers", "Key", "", "key shared by the daemons of an environment", secret(&set.Peers.Key))),
@@ -120,6 +122,27 @@
 	return text(dst, checkAddress)
 }
 
+func ip(dst *string) kind {
+	return text(dst, func(val string) error {
+		if net.ParseIP(val) == nil {
+			return fmt.Errorf("an IP")
+		}
+		return nil
+	})
+}
+
+// optional lets a key be empty.
+func optional(knd kind) kind {
+	parse := knd.parse
+	knd.parse = func(val string) error {
+		if err := parse(val); err != nil && val != "" {
+			return err
+		}
+		return nil
+	}
+	return knd
+}
+
 func checkAddress(val string) error {
 	host, port, err := net.SplitHostPort(val)
 	if err != nil || net.ParseIP(host) == nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,6 +44,10 @@
 	Callers   string
 	Operators string
 	Peers     string
+	// AdvertisePeers is the address at which other daemons reach Peers; empty means Peers itself.
+	AdvertisePeers string
+	// Source is the IP that outgoing connections leave from; empty means that of Peers.
+	Source string
 }
 
 // Platform says where the platform's object API is and how long a call to it may take.
--- /dev/null
+++ b/internal/standin/fleet/cut.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"github.com/cumintally/cumintally/internal/standin/link"
+)
+
+// Parts of an address 127.0.<zone>.<number> in a fleet with links.
+const (
+	// PlatformZone stands in the place of a zone's number for the platform.
+	PlatformZone = 200
+	firstEngine  = 100
+	firstService = 200
+)
+
+// unnumbered is the address of processes that no cut concerns.
+var unnumbered = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
+// address returns the IP of a process; without links all have the same.
+func (flt *Fleet) address(zone, num int) netip.Addr {
+	if !flt.cfg.Links {
+		return unnumbered
+	}
+	return netip.AddrFrom4([4]byte{127, 0, byte(zone), byte(num)})
+}
+
+// advertise puts a relay in front of an address and returns the relay's, or the same without links.
+func (flt *Fleet) advertise(ctx context.Context, adr string) (string, error) {
+	if !flt.cfg.Links {
+		return adr, nil
+	}
+	target, err := netip.ParseAddrPort(adr)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	adrs, err := freeAddresses(target.Addr(), 1)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	return adrs[0], send(ctx, http.MethodPut, "http://"+flt.Links.Address+"/relays", link.Relay{
+		Listen: netip.MustParseAddrPort(adrs[0]),
+		Target: target,
+	})
+}
+
+// Cut replaces the cuts between processes; none heals all.
+func (flt *Fleet) Cut(ctx context.Context, cuts ...link.Cut) error {
+	return flt.SetFaults(ctx, flt.Links, link.Faults{
+		Cuts: cuts,
+	})
+}
+
+// ZonePrefix returns the addresses of a zone's processes.
+func (flt *Fleet) ZonePrefix(zon string) netip.Prefix {
+	return netip.PrefixFrom(flt.address(1+slices.Index(flt.cfg.Zones, zon), 0), 24)
+}
+
+// PlatformPrefix returns the address of the platform.
+func (flt *Fleet) PlatformPrefix() netip.Prefix {
+	return netip.PrefixFrom(flt.address(PlatformZone, 0), 24)
+}
+
+// Isolate returns the cuts between a zone and everything outside it.
+func (flt *Fleet) Isolate(zon string, kind link.Kind) []link.Cut {
+	own := flt.ZonePrefix(zon)
+	cuts := []link.Cut{{
+		From: own,
+		To:   flt.PlatformPrefix(),
+		Kind: kind,
+	}}
+	for _, other := range flt.cfg.Zones {
+		if other != zon {
+			cuts = append(cuts, link.Cut{
+				From: own,
+				To:   flt.ZonePrefix(other),
+				Kind: kind,
+			})
+		}
+	}
+	return cuts
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -8,8 +8,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -43,17 +45,24 @@
 	RestartCrashed time.Duration
 	// EngineArgs are passed to every engine.
 	EngineArgs []string
+	// Links puts a relay in front of every process that daemons connect to, so that connections can be cut.
+	Links bool
 	// EntryEnv is added to the environment of every daemon.
 	EntryEnv []string
 }
 
 // Fleet is a set of processes that make one environment.
 type Fleet struct {
-	cfg      Config
+	cfg Config
+	// Links is the process of all relays, nil unless the fleet has links.
+	Links    *Process
 	Platform *Process
 	Entries  []*Entry
 	Engines  []*Engine
 	Services []*Process
+
+	// platform is the address at which daemons reach the platform.
+	platform string
 }
 
 // Entry is the daemon of an entry VM.
@@ -62,6 +71,8 @@
 	Zone      string
 	Operators string
 	Peers     string
+	// IP is the source of the daemon's connections.
+	IP netip.Addr
 }
 
 // Engine is the engine of a backend server VM.
@@ -69,6 +80,8 @@
 	*Process
 	Zone   string
 	Domain string
+	// Advertised is the address at which daemons reach the engine.
+	Advertised string
 }
 
 // ErrEnded says that a process ended while the fleet started, as when another process took its port.
@@ -97,14 +110,25 @@
 
 func (flt *Fleet) start(ctx context.Context) error {
 	var err error
-	if flt.Platform, err = flt.standin("platform", "platform", flt.cfg.PlatformArgs...); err != nil {
+	if flt.cfg.Links {
+		if flt.Links, err = flt.standin(unnumbered, "link", "link"); err != nil {
+			return errors.Trace(err)
+		}
+		if err := flt.Links.waitFor(ctx, "http://"+flt.Links.Address+"/faults"); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if flt.Platform, err = flt.standin(flt.address(PlatformZone, 1), "platform", "platform", flt.cfg.PlatformArgs...); err != nil {
+		return errors.Trace(err)
+	}
+	if flt.platform, err = flt.advertise(ctx, flt.Platform.Address); err != nil {
 		return errors.Trace(err)
 	}
 	if err := flt.Platform.waitFor(ctx, "http://"+flt.Platform.Address+"/calls"); err != nil {
 		return errors.Trace(err)
 	}
-	for _, zon := range flt.cfg.Zones {
-		if err := flt.startBackends(ctx, zon); err != nil {
+	for idx, zon := range flt.cfg.Zones {
+		if err := flt.startBackends(ctx, idx+1, zon); err != nil {
 			return errors.Trace(err)
 		}
 	}
@@ -131,26 +155,31 @@
 	return nil
 }
 
-func (flt *Fleet) startBackends(ctx context.Context, zon string) error {
+func (flt *Fleet) startBackends(ctx context.Context, num int, zon string) error {
 	for dom := range flt.cfg.DomainsPerZone {
 		domain := fmt.Sprintf("%s-fabric-%d", zon, dom+1)
 		for idx := range flt.cfg.VMsPerDomain {
 			name := fmt.Sprintf("%s-vm-%d", domain, idx+1)
-			prc, err := flt.standin(name, "engine", append([]string{"--vm", name, "--platform", flt.Platform.Address}, flt.cfg.EngineArgs...)...)
+			prc, err := flt.standin(flt.address(num, firstEngine+dom*flt.cfg.VMsPerDomain+idx), name, "engine", append([]string{"--vm", name, "--platform", flt.Platform.Address}, flt.cfg.EngineArgs...)...)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			adr, err := flt.advertise(ctx, prc.Address)
 			if err != nil {
 				return errors.Trace(err)
 			}
 			flt.Engines = append(flt.Engines, &Engine{
-				Process: prc,
-				Zone:    zon,
-				Domain:  domain,
+				Process:    prc,
+				Zone:       zon,
+				Domain:     domain,
+				Advertised: adr,
 			})
 			if err := flt.List(ctx, platform.VM{
 				Name:             name,
 				AvailabilityZone: zon,
 				FabricDomain:     domain,
 				Role:             platform.RoleEngine,
-				Address:          prc.Address,
+				Address:          adr,
 				State:            platform.VMLive,
 				Accelerators:     8,
 			}); err != nil {
@@ -160,17 +189,21 @@
 	}
 	for idx := range flt.cfg.ServicesByZone {
 		name := fmt.Sprintf("%s-%s-%d", zon, flt.cfg.Service, idx+1)
-		prc, err := flt.standin(name, "service")
+		prc, err := flt.standin(flt.address(num, firstService+idx), name, "service")
 		if err != nil {
 			return errors.Trace(err)
 		}
 		flt.Services = append(flt.Services, prc)
+		adr, err := flt.advertise(ctx, prc.Address)
+		if err != nil {
+			return errors.Trace(err)
+		}
 		if err := flt.List(ctx, platform.VM{
 			Name:             name,
 			AvailabilityZone: zon,
 			Role:             platform.RoleService,
 			Service:          flt.cfg.Service,
-			Address:          prc.Address,
+			Address:          adr,
 			State:            platform.VMLive,
 		}); err != nil {
 			return errors.Trace(err)
@@ -181,14 +214,19 @@
 
 // StartEntry starts the daemon of one more entry VM.
 func (flt *Fleet) StartEntry(ctx context.Context, name, zon string) error {
-	adrs, err := freeAddresses(3)
+	source := flt.address(1+slices.Index(flt.cfg.Zones, zon), 1+len(flt.Entries))
+	adrs, err := freeAddresses(source, 3)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	advertised, err := flt.advertise(ctx, adrs[2])
 	if err != nil {
 		return errors.Trace(err)
 	}
 	path := filepath.Join(flt.cfg.Folder, name+".ini")
-	text := fmt.Sprintf("[Entry]\nName = %s\nAvailabilityZone = %s\n[Listen]\nCallers = %s\nOperators = %s\nPeers = %s\n"+
+	text := fmt.Sprintf("[Entry]\nName = %s\nAvailabilityZone = %s\n[Listen]\nCallers = %s\nOperators = %s\nPeers = %s\nAdvertisePeers = %s\n"+
 		"[Platform]\nAddress = %s\n[Peers]\nKey = %s\n[Operators]\nKey = %s\n",
-		name, zon, adrs[0], adrs[1], adrs[2], flt.Platform.Address, PeerKey, OperatorKey)
+		name, zon, adrs[0], adrs[1], adrs[2], advertised, flt.platform, PeerKey, OperatorKey)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return errors.Trace(err)
 	}
@@ -207,19 +245,20 @@
 		Process:   prc,
 		Zone:      zon,
 		Operators: adrs[1],
-		Peers:     adrs[2],
+		Peers:     advertised,
+		IP:        source,
 	})
 	return flt.List(ctx, platform.VM{
 		Name:             name,
 		AvailabilityZone: zon,
 		Role:             platform.RoleEntry,
-		Address:          adrs[2],
+		Address:          advertised,
 		State:            platform.VMLive,
 	})
 }
 
-func (flt *Fleet) standin(name, verb string, args ...string) (*Process, error) {
-	adrs, err := freeAddresses(1)
+func (flt *Fleet) standin(ip netip.Addr, name, verb string, args ...string) (*Process, error) {
+	adrs, err := freeAddresses(ip, 1)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -273,6 +312,9 @@
 	if flt.Platform != nil {
 		_ = flt.Platform.Kill()
 	}
+	if flt.Links != nil {
+		_ = flt.Links.Kill()
+	}
 }
 
 // Ports of the processes lie below the range from which the kernel takes ports of outgoing connections,
@@ -283,11 +325,11 @@
 )
 
 // freeAddresses returns loopback addresses that nothing listens on now.
-func freeAddresses(num int) ([]string, error) {
+func freeAddresses(ip netip.Addr, num int) ([]string, error) {
 	var adrs []string
 	for range 100 * num {
 		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		lst, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		lst, err := net.Listen("tcp", fmt.Sprintf("%v:%d", ip, port))
 		if err != nil {
 			continue
 		}
--- /dev/null
+++ b/internal/standin/link/link_test.go
@@ -0,0 +1,158 @@
+package link_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cumintally/cumintally/internal/standin/link"
+)
+
+var (
+	near = netip.MustParseAddr("127.0.1.1")
+	far  = netip.MustParseAddr("127.0.2.1")
+)
+
+// held is the time for which no byte may pass a cut of kind Drop.
+const held = 100 * time.Millisecond
+
+// client is one end of a connection whose other end answers each line with the same line.
+type client struct {
+	con net.Conn
+	rdr *bufio.Reader
+}
+
+// newLinks returns links with a relay at far in front of a server that echoes lines.
+func newLinks(t *testing.T) (*link.Links, string) {
+	t.Helper()
+	srv, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { srv.Close() })
+	go func() {
+		for {
+			con, err := srv.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer con.Close()
+				for rdr := bufio.NewReader(con); ; {
+					line, err := rdr.ReadString('\n')
+					if err != nil {
+						return
+					}
+					fmt.Fprint(con, line)
+				}
+			}()
+		}
+	}()
+	free, err := net.Listen("tcp", far.String()+":0")
+	qt.Assert(t, err, qt.IsNil)
+	adr := free.Addr().String()
+	free.Close()
+	lks := link.New()
+	t.Cleanup(lks.Close)
+	qt.Assert(t, lks.Open(link.Relay{
+		Listen: netip.MustParseAddrPort(adr),
+		Target: netip.MustParseAddrPort(srv.Addr().String()),
+	}), qt.IsNil)
+	return lks, adr
+}
+
+func connect(t *testing.T, source netip.Addr, adr string) *client {
+	t.Helper()
+	dlr := net.Dialer{
+		LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0)),
+	}
+	con, err := dlr.Dial("tcp", adr)
+	if errors.Is(err, syscall.ECONNRESET) {
+		return &client{}
+	}
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { con.Close() })
+	return &client{
+		con: con,
+		rdr: bufio.NewReader(con),
+	}
+}
+
+// write sends a line, whose loss shows when the answer is read.
+func (cli *client) write(line string) {
+	if cli.con != nil {
+		_, _ = fmt.Fprintln(cli.con, line)
+	}
+}
+
+// read returns "line", "nothing" if no byte came in time, or "reset".
+func (cli *client) read(within time.Duration) string {
+	if cli.con == nil {
+		return "reset"
+	}
+	_ = cli.con.SetReadDeadline(time.Now().Add(within))
+	_, err := cli.rdr.ReadString('\n')
+	switch ner, ok := err.(net.Error); {
+	case err == nil:
+		return "line"
+	case ok && ner.Timeout():
+		return "nothing"
+	default:
+		return "reset"
+	}
+}
+
+// TestCuts guards against a cut that lets bytes pass, that hits others than its two sides, or that does
+// not end, at connections opened before and during the cut.
+func TestCuts(t *testing.T) {
+	for _, cse := range []struct {
+		name   string
+		from   netip.Addr
+		to     netip.Addr
+		kind   link.Kind
+		oneWay bool
+		open   string
+		fresh  string
+		healed string
+	}{
+		{"refuse", near, far, link.Refuse, false, "reset", "reset", "reset"},
+		{"refuse the other way round", far, near, link.Refuse, false, "reset", "reset", "reset"},
+		{"drop", near, far, link.Drop, false, "nothing", "nothing", "line"},
+		{"drop what is sent", near, far, link.Drop, true, "nothing", "nothing", "line"},
+		{"drop what comes back", far, near, link.Drop, true, "nothing", "nothing", "line"},
+		{"others", netip.MustParseAddr("127.0.3.1"), far, link.Drop, false, "line", "line", ""},
+	} {
+		t.Run(cse.name, func(t *testing.T) {
+			c := qt.New(t)
+			lks, adr := newLinks(t)
+			cli := connect(t, near, adr)
+			cli.write("before")
+			c.Assert(cli.read(time.Second), qt.Equals, "line")
+			lks.Set(link.Faults{
+				Cuts: []link.Cut{{
+					From:   netip.PrefixFrom(cse.from, 32),
+					To:     netip.PrefixFrom(cse.to, 32),
+					Kind:   cse.kind,
+					OneWay: cse.oneWay,
+				}},
+			})
+			fresh := connect(t, near, adr)
+			cli.write("during")
+			fresh.write("during")
+			c.Check(cli.read(held), qt.Equals, cse.open)
+			c.Check(fresh.read(held), qt.Equals, cse.fresh)
+			lks.Set(link.Faults{})
+			if cse.healed != "" {
+				c.Check(cli.read(time.Second), qt.Equals, cse.healed)
+			}
+			last := connect(t, near, adr)
+			last.write("after")
+			c.Check(last.read(time.Second), qt.Equals, "line")
+		})
+	}
+}
--- a/internal/standin/verb/table.go
+++ b/internal/standin/verb/table.go
@@ -17,6 +17,7 @@
 	newPlatform,
 	newEngine,
 	newService,
+	newLink,
 	newRun,
 	newCapacity,
 	newLoad,
