--- a/internal/servicecall/readiness_test.go
+++ b/internal/servicecall/readiness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -21,7 +22,7 @@
 	}))
 	defer srv.Close()
 	adr := strings.TrimPrefix(srv.URL, "http://")
-	rdy := newReadiness(clockwork.NewRealClock())
+	rdy := newReadiness(clockwork.NewRealClock(), (&net.Dialer{}).DialContext)
 	ctx, leave := context.WithCancel(context.Background())
 	time.AfterFunc(5*time.Millisecond, leave)
 	_ = rdy.ask(ctx, adr)
