--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -24,6 +24,23 @@
 	},
 }
 
+// TestTally guards against times of a request that are lost or counted twice.
+func TestTally(t *testing.T) {
+	c := qt.New(t)
+	rec := burn.New("zone-1", func() *document.Document { return levels }, clockwork.NewFakeClock())
+	tal := rec.Tally(document.IndicatorFirstToken, "model-1", "workspace-1")
+	for _, took := range []time.Duration{time.Second, 1200 * time.Millisecond, 1201 * time.Millisecond} {
+		tal.Time(took)
+	}
+	tal.Close()
+	tal.Close()
+	srs := rec.Series()
+	c.Assert(srs, qt.HasLen, 1)
+	c.Assert(srs[0].Counts, qt.HasLen, 1)
+	c.Assert(srs[0].Counts[0].Good, qt.Equals, uint64(2))
+	c.Assert(srs[0].Counts[0].Bad, qt.Equals, uint64(1))
+}
+
 // TestReport guards against a burn rate that hides bad events, mixes windows, or leaves out that a
 // daemon did not answer.
 func TestReport(t *testing.T) {
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -101,6 +101,9 @@
 }
 
 func (rec *Recorder) add(level, model, workspace string, good bool, num uint64) {
+	if num == 0 {
+		return
+	}
 	key := Key{
 		Level:            level,
 		Model:            model,
