Replace a member whose engine has ended without waiting for its return

Cause: a killed engine counted as silent for 4 s before it was replaced, which was most of the time that its group was down. A VM that refuses connections tells for certain that the engine, and what it held, is gone. The holder of the lease asks members whose evidence has grown old; one that refuses in two turns in a row is replaced. A VM that does not answer is replaced after 4 s as before, since it may only be paused.

Ruled out: a shorter wait for silent VMs (a pause of a few seconds would cost a cold start); replacing after one refusal (an engine that is about to listen).

Guards taken out: two refusals in a row, and the rule itself; TestEndedEngineIsReplacedSooner fails for each.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -40,6 +40,8 @@
 	InForce func() *document.Document
 	Order   func(ctx context.Context, adr string, ord backend.Order) error
 	Report  func(ctx context.Context, adr string) (backend.Report, error)
+	// Refuses reports whether a VM is there and refuses connections, so that its engine has surely ended.
+	Refuses func(ctx context.Context, adr string) bool
 	// Peers returns how many daemons of the zone this one hears, itself included, and how many the
 	// platform lists.
 	Peers func() (alive, listed int)
@@ -145,6 +147,7 @@
 		return
 	}
 	ctr.askDraining(ctx)
+	ctr.askSilent(ctx)
 	ctr.plan(ctx, doc)
 	if ctr.mayOrder() {
 		ctr.ord.give(ctx, ctr.inv.Allocations(ctr.cfg.AvailabilityZone), ctr.obs.vms())
@@ -235,6 +238,25 @@
 	wgr.Wait()
 }
 
+// askSilent asks members whose evidence has grown old whether their engines have ended.
+func (ctr *Controller) askSilent(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, interval)
+	defer cancel()
+	var wgr sync.WaitGroup
+	var mu sync.Mutex
+	refused := map[string]bool{}
+	for _, mem := range ctr.obs.silentMembers(ctr.clk.Now()) {
+		wgr.Go(func() {
+			res := ctr.sea.Refuses(ctx, mem.Address)
+			mu.Lock()
+			defer mu.Unlock()
+			refused[mem.VM] = res
+		})
+	}
+	wgr.Wait()
+	ctr.obs.observeRefusals(refused)
+}
+
 func (ctr *Controller) plan(ctx context.Context, doc *document.Document) {
 	now := ctr.clk.Now()
 	alive, listed := ctr.sea.Peers()
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -36,6 +36,8 @@
 	vm     platform.VM
 	report backend.Report
 	silent bool
+	// ended says that the VM is there and its engine is not.
+	ended bool
 }
 
 // bench is a zone with a fake clock: engines in memory, one store, and any number of controllers.
@@ -143,6 +145,7 @@
 		InForce: func() *document.Document { return bch.doc },
 		Order:   bch.give,
 		Report:  bch.ask,
+		Refuses: bch.refuses,
 		Peers:   func() (int, int) { return nod.alive, nod.listed },
 		Rank:    func() int { return 0 },
 	}
@@ -189,6 +192,12 @@
 	return mac.report, nil
 }
 
+func (bch *bench) refuses(_ context.Context, adr string) bool {
+	bch.mu.Lock()
+	defer bch.mu.Unlock()
+	return bch.machines[adr].ended
+}
+
 // turn lets a node hear every VM that is not silent and runs its loop once, half a second on.
 func (nod *node) turn() {
 	bch := nod.bch
@@ -607,3 +616,23 @@
 	nod.turns(1500 * time.Millisecond)
 	qt.Assert(tst, bch.members(), qt.DeepEquals, []string{"vm-2", "vm-0"})
 }
+
+// TestEndedEngineIsReplacedSooner guards against a wait for an engine that has surely ended, and against a
+// VM that counts as lost after one refused connection.
+func TestEndedEngineIsReplacedSooner(tst *testing.T) {
+	bch := newBench(tst, 3)
+	nod := bch.node("entry-1")
+	nod.turns(6 * time.Second)
+	bch.machines["vm-0"].silent = true
+	nod.turns(1500 * time.Millisecond)
+	bch.machines["vm-0"].ended = true
+	nod.turn()
+	bch.machines["vm-0"].ended = false
+	nod.turn()
+	qt.Assert(tst, bch.members(), qt.DeepEquals, []string{"vm-0", "vm-1"})
+	bch.machines["vm-0"].ended = true
+	nod.turn()
+	qt.Assert(tst, bch.members(), qt.DeepEquals, []string{"vm-0", "vm-1"})
+	nod.turn()
+	qt.Assert(tst, bch.members(), qt.DeepEquals, []string{"vm-2", "vm-1"})
+}
--- a/internal/controller/observer.go
+++ b/internal/controller/observer.go
@@ -17,6 +17,9 @@
 	// lostAfter is the time for which a member must be silent before it is replaced: twice the bound on
 	// evidence, so that a short pause costs no cold start.
 	lostAfter = 4 * time.Second
+	// endedAfter is the number of turns in a row in which a silent member must refuse connections to count
+	// as lost. What the engine held is lost then, so that waiting for it to start again gains nothing.
+	endedAfter = 2
 	// drainKnown is the time after which every daemon that can send has learnt that a group is draining:
 	// the 3 s within which a backend server that is leaving gets no new work, and the lag of load reports.
 	drainKnown = 4 * time.Second
@@ -54,6 +57,7 @@
 	draining map[drainKey]*drainTimes
 	slow     map[string]time.Time
 	idle     map[string]time.Time
+	refused  map[string]int
 }
 
 type drainKey struct {
@@ -83,6 +87,7 @@
 		draining: map[drainKey]*drainTimes{},
 		slow:     map[string]time.Time{},
 		idle:     map[string]time.Time{},
+		refused:  map[string]int{},
 	}
 }
 
@@ -205,6 +210,32 @@
 	}
 }
 
+// silentMembers returns the members of groups whose evidence no longer counts.
+func (obs *observer) silentMembers(now time.Time) []group.Member {
+	var mems []group.Member
+	for _, alc := range obs.inv.Allocations(obs.cfg.AvailabilityZone) {
+		for _, grp := range alc.Groups {
+			for _, mem := range grp.Members {
+				if ent, _ := obs.tab.Lookup(mem.VM); now.Sub(ent.AsOf) > obs.cfg.EvidenceMaxAge {
+					mems = append(mems, mem)
+				}
+			}
+		}
+	}
+	return mems
+}
+
+// observeRefusals counts in how many turns in a row silent members refused connections.
+func (obs *observer) observeRefusals(refused map[string]bool) {
+	next := map[string]int{}
+	for vm, res := range refused {
+		if res {
+			next[vm] = obs.refused[vm] + 1
+		}
+	}
+	obs.refused = next
+}
+
 func median(durs []time.Duration) time.Duration {
 	durs = slices.Clone(durs)
 	slices.Sort(durs)
@@ -271,7 +302,7 @@
 		FabricDomain: vmc.FabricDomain,
 		Address:      vmc.Address,
 		Usable:       idle && !leaving && vmc.State == platform.VMLive,
-		Lost:         mayReplace && silent > lostAfter,
+		Lost:         mayReplace && (silent > lostAfter || obs.refused[vmc.Name] >= endedAfter),
 		Leaving:      leaving,
 		Straggler:    slow && now.Sub(since) > slowFor,
 		Fencing:      ent.Report.Fencing,
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -1,9 +1,13 @@
 package entry
 
 import (
+	"context"
+	"net"
 	"slices"
+	"syscall"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
 	"go.uber.org/dig"
 	"go.uber.org/zap"
 
@@ -71,6 +75,7 @@
 		InForce: documentInForce(dep.Store),
 		Order:   newOrderClient(set.Control.OrderTimeout).Order,
 		Report:  dep.Backend.Report,
+		Refuses: refuses,
 		Peers: func() (int, int) {
 			return len(dep.Membership.Alive()), listedDaemons(dep.Inventory, cfg.AvailabilityZone)
 		},
@@ -82,6 +87,17 @@
 	return controller.New(cfg, sea, dep.Lease, dep.Inventory, dep.Table, dep.Platform, dep.Clock, dep.Log)
 }
 
+// refuses reports whether the kernel at adr answers that nothing listens there.
+func refuses(ctx context.Context, adr string) bool {
+	var dlr net.Dialer
+	con, err := dlr.DialContext(ctx, "tcp", adr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	con.Close()
+	return false
+}
+
 // listedDaemons returns the number of live entry VMs of a zone on the platform's list.
 func listedDaemons(inv *inventory.Inventory, zone string) int {
 	vms := inv.VMs()
--- a/test/groups/groups_test.go
+++ b/test/groups/groups_test.go
@@ -1,6 +1,7 @@
 package groups_test
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cumintally/cumintally/internal/backend"
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/platform"
@@ -59,6 +61,35 @@
 	}
 }
 
+// TestMemberSilentWithSpare guards against a VM that falls silent, as when it or its network is gone, is not
+// replaced, or still follows its old order when it returns.
+func TestMemberSilentWithSpare(tst *testing.T) {
+	tst.Parallel()
+	ctx, flt := start(tst, 3, 1, "--ignore-fencing")
+	wat := newWatch(ctx, tst, flt, 1)
+	time.Sleep(4 * time.Second)
+	lost := members(ctx, tst, flt.Entries[0], "a/0")[0]
+	eng := wat.engine(lost)
+	wat.mu.Lock()
+	wat.dead[lost] = time.Now()
+	wat.mu.Unlock()
+	qt.Assert(tst, eng.Signal(syscall.SIGSTOP), qt.IsNil)
+	until(ctx, tst, "replaced", func() bool { return !slices.Contains(members(ctx, tst, flt.Entries[0], "a/0"), lost) })
+	qt.Assert(tst, fleet.WaitServing(ctx, flt.Entries[0], 1), qt.IsNil)
+	qt.Assert(tst, eng.Signal(syscall.SIGCONT), qt.IsNil)
+	took := until(ctx, tst, "cleared", func() bool {
+		res, err := http.Get("http://" + eng.Address + "/report")
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		var rep backend.Report
+		return json.NewDecoder(res.Body).Decode(&rep) == nil && rep.State == backend.StateIdle
+	})
+	fmt.Printf("figure test=member-silent-with-spare cleared-after-return=%.1fs\n", took.Seconds())
+	wat.finish("member-silent-with-spare")
+}
+
 // TestMemberKilledWithoutSpare guards against a group that is given up without a spare VM, although its
 // member comes back.
 func TestMemberKilledWithoutSpare(tst *testing.T) {
