Send no call by a list of VMs from before a pause; read again before an expired key is rejected

TestLeavingServers failed once the list of VMs came by gossip: a daemon that had been paused sent one call to a server that only the platform's list had as leaving, because its own list was from before the pause and the server itself still said that it takes calls. The process now gives itself a sign of life every 200 ms; after 1.2 s without one it sends no call for 2 s and rejects them as not run. The age of the list was ruled out as the sign: in an outage of the platform the list is old too, and calls must go on.

rapid with 3,000 checks found that a daemon answered from its copy that a key had expired after another daemon had released it. Such an answer is now given only after the bucket was read again.

--- a/internal/booking/operation.go
+++ b/internal/booking/operation.go
@@ -57,7 +57,7 @@
 // rejects reports whether the reply depends on records that another daemon may have changed since they were read.
 func (rpl reply) rejects() bool {
 	switch rpl.Outcome {
-	case outcomeInUse, outcomeMismatch, outcomeFull, outcomeGone:
+	case outcomeInUse, outcomeMismatch, outcomeExpired, outcomeFull, outcomeGone:
 		return true
 	default:
 		return false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/cumintally/cumintally/internal/peer"
 	"github.com/cumintally/cumintally/internal/platform"
 	"github.com/cumintally/cumintally/internal/probe"
+	"github.com/cumintally/cumintally/internal/servicecall"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/zone"
 	"github.com/cumintally/cumintally/internal/zoneorder"
@@ -51,6 +52,7 @@
 	Limits     *limits
 	Caller     *caller.Handler
 	Ledger     *booking.Ledger
+	Services   *servicecall.Caller
 	Operator   *operator.Handler
 }
 
@@ -128,6 +130,7 @@
 	wgr.Go(func() { ent.dep.Prober.Run(ctx) })
 	wgr.Go(func() { ent.dep.ZoneOrders.Run(ctx) })
 	wgr.Go(func() { fol.followVMs(ctx) })
+	wgr.Go(func() { ent.dep.Services.Run(ctx) })
 	wgr.Go(func() { ent.dep.Limits.Run(ctx) })
 	wgr.Go(func() { fol.settle(ctx) })
 	wgr.Go(func() { ent.dep.Sampler.run(ctx) })
--- a/internal/servicecall/caller.go
+++ b/internal/servicecall/caller.go
@@ -66,6 +66,7 @@
 	zone    string
 	led     Ledger
 	rdy     *readiness
+	wak     *wakefulness
 	clk     clockwork.Clock
 	log     *zap.Logger
 	vms     func() []platform.VM
@@ -76,9 +77,12 @@
 // that may get work.
 func New(zone string, led Ledger, vms func() []platform.VM, inForce func() *document.Document, clk clockwork.Clock, log *zap.Logger) *Caller {
 	cal := &Caller{
-		Dial:    (&net.Dialer{}).DialContext,
-		zone:    zone,
-		led:     led,
+		Dial: (&net.Dialer{}).DialContext,
+		zone: zone,
+		led:  led,
+		wak: &wakefulness{
+			clk: clk,
+		},
 		clk:     clk,
 		log:     log.Named("servicecall"),
 		vms:     vms,
@@ -88,6 +92,11 @@
 	return cal
 }
 
+// Run watches for pauses of this process until ctx ends.
+func (cal *Caller) Run(ctx context.Context) {
+	cal.wak.run(ctx)
+}
+
 // Call runs a call and returns the service's answer, or a *refusal.Refusal.
 func (cal *Caller) Call(ctx context.Context, req Request) (Answer, error) {
 	svc, ok := cal.service(req.Service)
@@ -184,6 +193,9 @@
 	if !cal.clk.Now().Before(req.Deadline) {
 		return context.DeadlineExceeded
 	}
+	if err := cal.wak.check(); err != nil {
+		return err
+	}
 	for _, vmc := range cal.vms() {
 		if vmc.Address == adr && takesCalls(vmc, req.Service) {
 			return cal.rdy.current(adr)
--- a/internal/servicecall/caller_test.go
+++ b/internal/servicecall/caller_test.go
@@ -260,6 +260,24 @@
 	c.Assert(gat.shut(context.Canceled), qt.IsFalse)
 }
 
+// TestPause guards against a send by a list of VMs from before a pause of the process.
+func TestPause(t *testing.T) {
+	c := qt.New(t)
+	clk := clockwork.NewFakeClock()
+	wak := &wakefulness{
+		clk:  clk,
+		last: clk.Now(),
+	}
+	clk.Advance(tickInterval)
+	c.Assert(wak.check(), qt.IsNil)
+	clk.Advance(pauseBound + time.Millisecond)
+	c.Assert(wak.check(), qt.IsNotNil)
+	clk.Advance(settleTime / 2)
+	c.Assert(wak.check(), qt.IsNotNil)
+	clk.Advance(settleTime / 2)
+	c.Assert(wak.check(), qt.IsNil)
+}
+
 // TestLeaving guards against calls to a backend server that says it is leaving while the list still has it live.
 func TestLeaving(t *testing.T) {
 	c := qt.New(t)
