Give a cold replica's free slots out again

The cause, found by printing what the owner counted: a daemon held 2 spare slots when the replica turned cold; the cold report made them void, so the daemon did not ask again, and the owner counted them as requests whose holder is gone. Reports with no request in progress did not end that, since each ask that saw the server cold passed for a younger report, without load figures.

A daemon now tells the owner of slots that it no longer uses, and an ask is taken for a report only if it lowers the limit. TestGivesSlotsBack, TestOrphansEnd and TestIdleHolder failed before.

--- a/internal/permit/grant.go
+++ b/internal/permit/grant.go
@@ -45,7 +45,7 @@
 
 // take lowers the limit at once if the holder has seen a restart or a cold report.
 func (sta *state) take(ask Ask, now time.Time) {
-	if ask.Incarnation == sta.obs.Incarnation && !ask.Cold {
+	if ask.Incarnation == sta.obs.Incarnation && (!ask.Cold || sta.obs.Cold) {
 		return
 	}
 	obs := sta.obs
@@ -60,6 +60,9 @@
 // slots returns the number of slots that the holder may use from now on.
 func (sta *state) slots(holder string, ask Ask, viw view, now time.Time) int {
 	hold := max(ask.Hold, ask.Running)
+	if hold == 0 && len(ask.Demand) == 0 {
+		return 0
+	}
 	free := sta.free(viw, now)
 	if free == 0 {
 		return sta.reduced(holder, ask, viw, now)
--- a/internal/permit/limiter_test.go
+++ b/internal/permit/limiter_test.go
@@ -177,3 +177,25 @@
 	qt.Assert(t, own.ask("entry-1", 1, permit.Ask{}).Slots, qt.Equals, 0)
 	qt.Assert(t, own.ask("entry-2", 2, permit.Ask{Demand: wants("a", 1, 0, 2)}).Slots, qt.Equals, 2)
 }
+
+// TestOrphansEnd guards against a cold server whose free slots stay counted for a holder that is gone, since
+// asks that repeat what the owner knows hide the reports that show the slots free.
+func TestOrphansEnd(t *testing.T) {
+	own := newOwner(t, true)
+	qt.Assert(t, own.ask("entry-2", 2, permit.Ask{Cold: true, Demand: wants("a", 1, 0, 2)}).Slots, qt.Equals, 2)
+	own.now = own.now.Add(step)
+	for range 60 {
+		own.obs.AsOf = own.now.Add(-2 * step)
+		own.lim.See([]string{"entry-1", "entry-2"}, 2, own.now)
+		own.lim.Observe(own.obs, own.now)
+		own.ask("entry-1", 1, permit.Ask{Cold: true, Demand: wants("a", 1, 0, 2)})
+		own.now = own.now.Add(step)
+	}
+	qt.Assert(t, own.ask("entry-1", 1, permit.Ask{Cold: true, Demand: wants("a", 1, 0, 2)}).Slots, qt.Equals, 2)
+}
+
+// TestIdleHolder guards against a daemon that gets spare slots at a group that it does not use.
+func TestIdleHolder(t *testing.T) {
+	own := newOwner(t, false)
+	qt.Assert(t, own.ask("entry-1", 1, permit.Ask{}).Slots, qt.Equals, 0)
+}
--- a/internal/permit/queue/queue.go
+++ b/internal/permit/queue/queue.go
@@ -209,8 +209,9 @@
 	que.mu.Lock()
 	defer que.mu.Unlock()
 	que.expire(now)
-	// A queue that has become empty is told as well, since the owner keeps slots for what it was told of.
-	idle := len(que.waiting) == 0 && que.admitted == 0 && que.usable(now) == 0 && que.lease.waiting == 0
+	// A queue that has become empty is told as well, since the owner keeps slots for what it was told of and
+	// takes slots that are not given back for requests whose holder is gone.
+	idle := len(que.waiting) == 0 && que.admitted == 0 && que.lease.grant.Slots == 0 && que.lease.waiting == 0
 	if idle || que.lease.asking {
 		return permit.Ask{}, false
 	}
--- a/internal/permit/queue/queue_test.go
+++ b/internal/permit/queue/queue_test.go
@@ -124,3 +124,12 @@
 	_, due = que.Ask("recipes-1/0", start)
 	qt.Assert(t, due, qt.IsFalse)
 }
+
+// TestGivesSlotsBack guards against unused slots that are not given back once a cold report made them void.
+func TestGivesSlotsBack(t *testing.T) {
+	que := newQueue(2, false)
+	que.See(queue.Sight{Fencing: 1, Incarnation: 7, Cold: true, AsOf: start.Add(1)})
+	ask, due := que.Ask("recipes-1/0", start)
+	qt.Assert(t, due, qt.IsTrue)
+	qt.Assert(t, ask.Hold, qt.Equals, 0)
+}
