--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/http"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	metrics "github.com/rcrowley/go-metrics"
@@ -54,12 +55,18 @@
 	return metrics.NewRegistry()
 }
 
+// streamTimeout is the time in which an engine must begin to answer. A daemon that alone cannot reach an
+// engine still gets evidence of it from its peers, so that a request would else wait until its deadline.
+// An engine sends the headers of a stream before it queues the request.
+const streamTimeout = 2 * time.Second
+
 func newBackend(dil dial) *backend.Client {
 	return backend.New(&http.Client{
 		Transport: &http.Transport{
-			DialContext:         dil,
-			MaxIdleConnsPerHost: 64,
-			DisableCompression:  true,
+			DialContext:           dil,
+			MaxIdleConnsPerHost:   64,
+			ResponseHeaderTimeout: streamTimeout,
+			DisableCompression:    true,
 		},
 	})
 }
--- /dev/null
+++ b/test/zones/callers_test.go
@@ -0,0 +1,205 @@
+package zones_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cumintally/cumintally/internal/standin/engine"
+	"github.com/cumintally/cumintally/internal/standin/fleet"
+)
+
+// result says how a call was answered.
+type result string
+
+const (
+	right   result = "right"
+	wrong   result = "wrong"
+	notRun  result = "NotRun"
+	unknown result = "Unknown"
+	broken  result = "no answer"
+)
+
+// call is one request and its answer.
+type call struct {
+	entry  string
+	zone   string
+	id     string
+	began  time.Time
+	took   time.Duration
+	result result
+	detail string
+}
+
+// callTimeout is the time after which a caller gives up.
+const callTimeout = 8 * time.Second
+
+var client = &http.Client{
+	Transport: &http.Transport{
+		MaxIdleConnsPerHost: 64,
+	},
+}
+
+// post sends a request as a caller does; take judges the body of a good answer.
+func post(ctx context.Context, ent *fleet.Entry, path, key, body string, take func(body []byte) result) call {
+	cal := call{
+		entry:  ent.Name,
+		zone:   ent.Zone,
+		began:  time.Now(),
+		result: broken,
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	defer func() { cal.took = time.Since(cal.began) }()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+ent.Address+path, strings.NewReader(body))
+	if err != nil {
+		cal.detail = err.Error()
+		return cal
+	}
+	req.Header.Set("Authorization", "Bearer "+fleet.CallerKey)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		cal.detail = err.Error()
+		cal.took = time.Since(cal.began)
+		return cal
+	}
+	defer res.Body.Close()
+	cal.id = res.Header.Get("X-Request-Id")
+	data, err := io.ReadAll(res.Body)
+	cal.took = time.Since(cal.began)
+	if err != nil {
+		cal.detail = err.Error()
+		return cal
+	}
+	if res.StatusCode < http.StatusMultipleChoices {
+		cal.result = take(data)
+		return cal
+	}
+	var prb struct {
+		Detail  string
+		Outcome result
+	}
+	cal.result = wrong
+	if json.Unmarshal(data, &prb) == nil && (prb.Outcome == notRun || prb.Outcome == unknown) {
+		cal.result = prb.Outcome
+	}
+	cal.detail = fmt.Sprintf("%d %s", res.StatusCode, data)
+	return cal
+}
+
+// ask sends a request to the model and compares the answer with the text that belongs to the prompt.
+func ask(ctx context.Context, ent *fleet.Entry, prompt string, tokens int) call {
+	body, _ := json.Marshal(map[string]any{
+		"model":      "recipes",
+		"prompt":     prompt,
+		"max_tokens": tokens,
+	})
+	return post(ctx, ent, "/v1/completions", "", string(body), func(data []byte) result {
+		var cpl struct {
+			Choices []struct{ Text string }
+		}
+		if json.Unmarshal(data, &cpl) != nil || len(cpl.Choices) != 1 || cpl.Choices[0].Text != strings.Join(engine.Text(prompt, tokens), "") {
+			return wrong
+		}
+		return right
+	})
+}
+
+// book makes a booking under its reference as key.
+func book(ctx context.Context, ent *fleet.Entry, reference string) call {
+	return post(ctx, ent, "/services/jobs/bookings", reference, fmt.Sprintf(`{"Reference":%q}`, reference), func(data []byte) result {
+		var rct struct{ Reference string }
+		if json.Unmarshal(data, &rct) != nil || rct.Reference != reference {
+			return wrong
+		}
+		return right
+	})
+}
+
+// callers send requests to the model at entry VMs until they stop.
+type callers struct {
+	cancel context.CancelFunc
+	wgr    sync.WaitGroup
+
+	mu    sync.Mutex
+	calls []call
+}
+
+// startCallers starts num callers at each entry VM, which pause between their requests.
+func startCallers(ctx context.Context, ents []*fleet.Entry, num int, pause time.Duration) *callers {
+	ctx, cancel := context.WithCancel(ctx)
+	cls := &callers{
+		cancel: cancel,
+	}
+	for _, ent := range ents {
+		for idx := range num {
+			cls.wgr.Go(func() {
+				for turn := 0; ctx.Err() == nil; turn++ {
+					// A stop lets the request in progress finish.
+					cal := ask(context.WithoutCancel(ctx), ent, fmt.Sprintf("%s caller %d turn %d", ent.Name, idx, turn), 10)
+					cls.mu.Lock()
+					cls.calls = append(cls.calls, cal)
+					cls.mu.Unlock()
+					time.Sleep(pause)
+				}
+			})
+		}
+	}
+	return cls
+}
+
+// stop ends the callers and returns all calls, in the order of their ends.
+func (cls *callers) stop() []call {
+	cls.cancel()
+	cls.wgr.Wait()
+	return cls.calls
+}
+
+// between returns the calls at a zone that began in a time.
+func between(calls []call, zon string, from, to time.Time) []call {
+	var use []call
+	for _, cal := range calls {
+		if cal.zone == zon && cal.began.After(from) && cal.began.Before(to) {
+			use = append(use, cal)
+		}
+	}
+	return use
+}
+
+// startLong starts a request of about 4 s at each of the entry VMs and returns a function that waits for
+// the answers.
+func startLong(ctx context.Context, ents []*fleet.Entry) func() []call {
+	const tokens = 800
+	calls := make([]call, len(ents))
+	var wgr sync.WaitGroup
+	for idx, ent := range ents {
+		wgr.Go(func() { calls[idx] = ask(ctx, ent, "long request at "+ent.Name, tokens) })
+	}
+	return func() []call {
+		wgr.Wait()
+		return calls
+	}
+}
+
+// runs returns how often each booking ran at any of the services.
+func (env *environment) runs(ctx context.Context, t *testing.T) map[string]int {
+	t.Helper()
+	sum := map[string]int{}
+	for _, svc := range env.Services {
+		var cnt map[string]int
+		fetch(ctx, t, "http://"+svc.Address+"/runs", &cnt)
+		for ref, num := range cnt {
+			sum[ref] += num
+		}
+	}
+	return sum
+}
