--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,76 @@
+package quarantine_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cumintally/cumintally/internal/quarantine"
+)
+
+// Guards against a third group lost to a fingerprint, and against one crash counted twice.
+func TestVerdictCountsDistinctCrashes(tst *testing.T) {
+	qua := quarantine.New()
+	now := time.Now()
+	fpr := quarantine.Of("model", "prompt")
+	verdict := func(at time.Time) quarantine.Verdict {
+		ver, _ := qua.Verdict(fpr, at)
+		return ver
+	}
+	qt.Assert(tst, verdict(now), qt.Equals, quarantine.Clear)
+	qt.Assert(tst, qua.Record(quarantine.Crash{Fingerprint: fpr, Event: "a"}, now), qt.IsTrue)
+	qt.Assert(tst, qua.Record(quarantine.Crash{Fingerprint: fpr, Event: "a", Age: time.Second}, now), qt.IsFalse)
+	qt.Assert(tst, verdict(now), qt.Equals, quarantine.Suspect)
+	qua.Record(quarantine.Crash{Fingerprint: fpr, Event: "b", Age: time.Minute}, now)
+	ver, left := qua.Verdict(fpr, now)
+	qt.Assert(tst, ver, qt.Equals, quarantine.Quarantined)
+	qt.Assert(tst, left, qt.Equals, quarantine.Period)
+	qt.Assert(tst, verdict(now.Add(quarantine.Period-time.Second)), qt.Equals, quarantine.Suspect)
+	qt.Assert(tst, verdict(now.Add(quarantine.Period)), qt.Equals, quarantine.Clear)
+	qt.Assert(tst, quarantine.Of("model", "other"), qt.Not(qt.Equals), fpr)
+}
+
+// Guards against two suspects at once in a slot.
+func TestHoldIsExclusiveUntilItExpires(tst *testing.T) {
+	qua := quarantine.New()
+	now := time.Now()
+	qt.Assert(tst, qua.Hold("group", "one", now), qt.IsTrue)
+	qt.Assert(tst, qua.Hold("group", "two", now), qt.IsFalse)
+	qua.Release("group", "two")
+	qt.Assert(tst, qua.Hold("group", "two", now), qt.IsFalse)
+	qt.Assert(tst, qua.Hold("group", "one", now.Add(quarantine.SlotTime/2)), qt.IsTrue)
+	qt.Assert(tst, qua.Hold("group", "two", now.Add(quarantine.SlotTime)), qt.IsFalse)
+	qt.Assert(tst, qua.Hold("group", "two", now.Add(2*quarantine.SlotTime)), qt.IsTrue)
+	qua.Release("group", "two")
+	qt.Assert(tst, qua.Hold("group", "one", now), qt.IsTrue)
+}
+
+// Guards against memory that grows with the number of crashing requests.
+func TestRecordIsBounded(tst *testing.T) {
+	qua := quarantine.New()
+	now := time.Now()
+	for idx := range 10100 {
+		qua.Record(quarantine.Crash{Fingerprint: quarantine.Of("model", strconv.Itoa(idx)), Event: "a"}, now.Add(time.Duration(idx)))
+	}
+	qt.Assert(tst, len(qua.Crashes(now)), qt.Equals, 10000)
+	ver, _ := qua.Verdict(quarantine.Of("model", "10099"), now)
+	qt.Assert(tst, ver, qt.Equals, quarantine.Suspect)
+}
+
+// Guards against copies of an unknown request on several groups at once.
+func TestPlaceKeepsCopiesTogether(tst *testing.T) {
+	qua := quarantine.New()
+	now := time.Now()
+	fpr := quarantine.Of("model", "prompt")
+	qt.Assert(tst, qua.Place(fpr, "a", "", "one", now), qt.Equals, "a")
+	qt.Assert(tst, qua.Place(fpr, "b", "", "one", now), qt.Equals, "b", qt.Commentf("the sole holder moves"))
+	qt.Assert(tst, qua.Place(fpr, "c", "", "two", now), qt.Equals, "b")
+	qt.Assert(tst, qua.Place(fpr, "c", "", "one", now), qt.Equals, "b", qt.Commentf("the placement is shared"))
+	qt.Assert(tst, qua.Place(fpr, "c", "b", "two", now), qt.Equals, "c", qt.Commentf("b is out of service"))
+	qt.Assert(tst, qua.Place(fpr, "d", "b", "one", now), qt.Equals, "c")
+	late := now.Add(quarantine.PlaceTime)
+	qt.Assert(tst, qua.Place(fpr, "d", "", "three", late), qt.Equals, "d")
+	qt.Assert(tst, qua.Place(quarantine.Of("model", "other"), "d", "", "four", now), qt.Equals, "d")
+}
--- a/internal/stream/token.go
+++ b/internal/stream/token.go
@@ -23,6 +23,8 @@
 	Attempt   int
 	// Address is IP:port of the engine of rank 0.
 	Address string
+	// Owner is IP:port of the peer listener of the daemon that runs the request.
+	Owner string
 	// Workspace is the only one whose key may resume the stream.
 	Workspace string
 	Model     string
--- a/internal/workspace/doc.go
+++ b/internal/workspace/doc.go
@@ -1,4 +1,4 @@
-// Package workspace knows the customers: their bearer keys, shares and priorities.
+// Package workspace knows the customers: their bearer keys, shares, priorities and retry budgets.
 //
-// It keeps only an index of the document in force and does no I/O.
+// It keeps an index of the document in force and the balances of the budgets, and does no I/O.
 package workspace
--- a/internal/workspace/registry.go
+++ b/internal/workspace/registry.go
@@ -8,10 +8,12 @@
 	"github.com/cumintally/cumintally/pkg/document"
 )
 
-// Registry finds the workspace of a bearer key in the document in force.
+// Registry finds the workspace of a bearer key in the document in force and keeps the retry budgets.
 type Registry struct {
-	inForce func() *document.Document
-	idx     atomic.Pointer[index]
+	inForce     func() *document.Document
+	idx         atomic.Pointer[index]
+	byWorkspace *budgets
+	byGroup     *budgets
 }
 
 type index struct {
@@ -23,7 +25,9 @@
 // New returns a registry of the document that inForce returns.
 func New(inForce func() *document.Document) *Registry {
 	return &Registry{
-		inForce: inForce,
+		inForce:     inForce,
+		byWorkspace: newBudgets(workspaceReserve),
+		byGroup:     newBudgets(groupReserve),
 	}
 }
 
