Keep requests whole when connections, daemons and replicas are lost

Cause: a request ran inside its caller's connection. When the connection ended the engine's stream was left alone, a forwarded stream failed with the link to the other zone, a replica that failed after it had got a request was reported as not run, and a refusal that another zone gave arrived as plain text.

A request now runs apart from its caller, and any reader follows its history: the caller, a daemon that forwarded it, or a daemon at which the caller resumed it. A reader whose owner daemon is lost reads the engine and tells the owner until it knows; without that, a paused daemon cancelled the stream after it woke. A stream that breaks resumes at its engine as long as it makes progress; a silent one is left when the evidence of its group is lost. A refusal says not run only if no backend server can have run the request. Deadlines (X-Request-Timeout) are checked before each send; retries draw on both budgets.

Crashes are recorded, announced within the zone before the caller is answered, and their requests run again under exclusive slots. Ruled out: counting every lost stream as a crash, since regrouping breaks streams too; all members are asked, and one that does not answer with its incarnation within 300 ms counts as crashed.

Stop: readiness fails, new requests are served for StopNotice (2 s), then refused as not run; streams end, forwarded ones and those that wait for their caller included, before connections to peers close.

Bodies are read in bounded time (15 s) and memory (64 MB over all requests).

--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -2,12 +2,11 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/dispatch"
@@ -49,12 +48,23 @@
 		hnd.resumeFrom(rsw, req, last)
 		return
 	}
-	crq, ref := decodeCompletion(req.Body, chat)
+	body, release, ref := hnd.readBody(rsw, req)
 	if ref != nil {
 		writeProblem(rsw, req, ref)
 		return
 	}
-	drq := hnd.newRequest(req, crq, chat)
+	defer release()
+	crq, ref := decodeCompletion(body, chat)
+	if ref != nil {
+		writeProblem(rsw, req, ref)
+		return
+	}
+	ddl, ref := hnd.deadline(req)
+	if ref != nil {
+		writeProblem(rsw, req, ref)
+		return
+	}
+	drq := hnd.newRequest(req, crq, chat, ddl)
 	if !hnd.modelKnown(drq.Model) {
 		writeProblem(rsw, req, refusal.New(refusal.NotRun, http.StatusNotFound, "Unknown model", "no model "+crq.Model+" is in service", 0))
 		return
@@ -64,7 +74,7 @@
 	hnd.end(req, out, err)
 }
 
-func (hnd *Handler) newRequest(req *http.Request, crq completionRequest, chat bool) dispatch.Request {
+func (hnd *Handler) newRequest(req *http.Request, crq completionRequest, chat bool, ddl time.Time) dispatch.Request {
 	wsp := callerWorkspace(req.Context())
 	model, adapter, _ := strings.Cut(crq.Model, ":")
 	return dispatch.Request{
@@ -76,7 +86,8 @@
 		Prompt:    crq.prompt(chat),
 		MaxTokens: crq.MaxTokens,
 		Chat:      chat,
-		Deadline:  hnd.clk.Now().Add(hnd.cfg.Timeout),
+		Streamed:  crq.Stream,
+		Deadline:  ddl,
 	}
 }
 
@@ -89,13 +100,15 @@
 		zap.String("workspace", callerWorkspace(req.Context()).Name),
 		zap.Error(err),
 	)
-	out.fail(asRefusal(err))
+	if req.Context().Err() == nil {
+		out.fail(asRefusal(err))
+	}
 }
 
-func decodeCompletion(body io.Reader, chat bool) (completionRequest, *refusal.Refusal) {
+func decodeCompletion(body []byte, chat bool) (completionRequest, *refusal.Refusal) {
 	var crq completionRequest
-	if err := json.NewDecoder(body).Decode(&crq); err != nil {
-		return crq, bodyRefusal(err)
+	if err := json.Unmarshal(body, &crq); err != nil {
+		return crq, refusal.Invalid("the body is not valid JSON: " + err.Error())
 	}
 	switch {
 	case crq.Model == "":
@@ -112,14 +125,6 @@
 	return crq, nil
 }
 
-func bodyRefusal(err error) *refusal.Refusal {
-	var mbe *http.MaxBytesError
-	if errors.As(err, &mbe) {
-		return refusal.New(refusal.NotRun, http.StatusRequestEntityTooLarge, "Body too large", err.Error(), 0)
-	}
-	return refusal.Invalid("the body is not valid JSON: " + err.Error())
-}
-
 func (crq completionRequest) prompt(chat bool) string {
 	if !chat {
 		return crq.Prompt
@@ -169,7 +174,12 @@
 		return
 	}
 	out := newWriter(rsw, req, tok.RequestID, tok.Model, tok.Chat, true)
-	hnd.end(req, out, hnd.dsp.Resume(req.Context(), tok, seq, out.event))
+	ddl, ref := hnd.deadline(req)
+	if ref != nil {
+		writeProblem(rsw, req, ref)
+		return
+	}
+	hnd.end(req, out, hnd.dsp.Resume(req.Context(), tok, seq, ddl, out.event))
 }
 
 type modelList struct {
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -39,8 +40,11 @@
 	log *zap.Logger
 
 	mu       sync.Mutex
+	stopping bool
 	draining bool
 	active   sync.WaitGroup
+	// bodies is the number of bytes reserved for the bodies of requests in progress.
+	bodies atomic.Int64
 }
 
 // New returns a handler that sends requests to models to dsp and calls of services to cal.
@@ -88,18 +92,26 @@
 
 func (hnd *Handler) ready(rsw http.ResponseWriter, _ *http.Request) {
 	hnd.mu.Lock()
-	drn := hnd.draining
+	stp := hnd.stopping
 	hnd.mu.Unlock()
-	if drn || hnd.sto.InForce().Generation == 0 {
+	if stp || hnd.sto.InForce().Generation == 0 {
 		rsw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	rsw.WriteHeader(http.StatusNoContent)
 }
 
+// FailReadiness makes /readyz fail; requests are still served.
+func (hnd *Handler) FailReadiness() {
+	hnd.mu.Lock()
+	defer hnd.mu.Unlock()
+	hnd.stopping = true
+}
+
 // Drain refuses new requests and waits until those in progress have ended or ctx ends.
 func (hnd *Handler) Drain(ctx context.Context) {
 	hnd.mu.Lock()
+	hnd.stopping = true
 	hnd.draining = true
 	hnd.mu.Unlock()
 	done := make(chan struct{})
@@ -122,13 +134,18 @@
 		hnd.mu.Lock()
 		if hnd.draining {
 			hnd.mu.Unlock()
+			rsw.Header().Set("Connection", "close")
 			writeProblem(rsw, req, refusal.Unavailable("this entry VM is stopping", drainComeBack))
 			return
 		}
 		hnd.active.Add(1)
+		stp := hnd.stopping
 		hnd.mu.Unlock()
+		if stp {
+			// The balancer must not reuse the connection: it closes when the daemon exits.
+			rsw.Header().Set("Connection", "close")
+		}
 		defer hnd.active.Done()
-		req.Body = http.MaxBytesReader(rsw, req.Body, int64(hnd.cfg.MaxBodySize))
 		ctx := context.WithValue(req.Context(), requestIDKey{}, uuid.NewString())
 		rsw.Header().Set("X-Request-Id", requestID(ctx))
 		next.ServeHTTP(rsw, req.WithContext(ctx))
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"io"
 	"net/http"
 	"strings"
 
@@ -14,9 +13,15 @@
 
 // service passes a call on to a plain service.
 func (hnd *Handler) service(rsw http.ResponseWriter, req *http.Request) {
-	body, err := io.ReadAll(req.Body)
-	if err != nil {
-		writeProblem(rsw, req, bodyRefusal(err))
+	body, release, ref := hnd.readBody(rsw, req)
+	if ref != nil {
+		writeProblem(rsw, req, ref)
+		return
+	}
+	defer release()
+	ddl, ref := hnd.deadline(req)
+	if ref != nil {
+		writeProblem(rsw, req, ref)
 		return
 	}
 	wsp := callerWorkspace(req.Context())
@@ -30,7 +35,7 @@
 		ContentType:    req.Header.Get("Content-Type"),
 		IdempotencyKey: req.Header.Get("Idempotency-Key"),
 		Body:           body,
-		Deadline:       hnd.clk.Now().Add(hnd.cfg.Timeout),
+		Deadline:       ddl,
 	})
 	if err != nil {
 		hnd.log.Info("a service call failed",
--- a/internal/caller/writer.go
+++ b/internal/caller/writer.go
@@ -5,12 +5,16 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cumintally/cumintally/internal/dispatch"
 	"github.com/cumintally/cumintally/internal/refusal"
 	"github.com/cumintally/cumintally/internal/stream"
 )
 
+// writeTimeout bounds the write of one event.
+const writeTimeout = 15 * time.Second
+
 // writer answers one completion, as server-sent events or whole.
 type writer struct {
 	rsw      http.ResponseWriter
@@ -62,6 +66,8 @@
 		return json.NewEncoder(out.rsw).Encode(out.completion(out.text.String(), evt.Finish))
 	}
 	out.start()
+	// A caller that reads nothing for this long counts as gone; it can resume.
+	_ = out.ctl.SetWriteDeadline(time.Now().Add(writeTimeout))
 	data, err := json.Marshal(out.completion(evt.Text, evt.Finish))
 	if err != nil {
 		return err
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,30 +2,34 @@
 
 import (
 	"context"
-	"strings"
+	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/backend"
 	"github.com/cumintally/cumintally/internal/evidence"
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/inventory"
+	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/refusal"
-	"github.com/cumintally/cumintally/internal/stream"
 )
 
 const (
-	// maxAttempts is the number of replicas that one request may be sent to.
-	maxAttempts = 3
-	// maxResumes is the number of times that a broken stream is opened again at its engine.
-	maxResumes = 3
-	// comeBack is the time to come back given when no group can take a request.
-	comeBack = time.Second
+	// ErrUnreachable says that another daemon did not get a request.
+	ErrUnreachable = errors.ConstError("dispatch: daemon not reached")
+	// ErrLost says that the connection to another daemon broke; it may still run the request.
+	ErrLost = errors.ConstError("dispatch: daemon lost")
+	// ErrUnknownRun says that the daemon does not have the request, or not that position of it.
+	ErrUnknownRun = errors.ConstError("dispatch: unknown request")
 )
 
+// comeBack is the time to come back given when no group can take a request.
+const comeBack = time.Second
+
 // Candidate is a group that may get a request now.
 type Candidate struct {
 	Group  group.Group
@@ -37,252 +41,182 @@
 	Generate func(ctx context.Context, adr string, srq backend.StreamRequest) (*backend.Stream, error)
 	Resume   func(ctx context.Context, adr, requestID string, attempt, from int) (*backend.Stream, error)
 	Cancel   func(ctx context.Context, adr, requestID string, attempt int) error
+	Report   func(ctx context.Context, adr string) (backend.Report, error)
 	// Choose picks one of the candidates.
 	Choose func(req Request, cands []Candidate) Candidate
 	// Acquire takes a permit to send one more request to a group; a failed one is a *refusal.Refusal.
+	// The context ends at the request's deadline and when the evidence of the group is lost.
 	Acquire func(ctx context.Context, req Request, cand Candidate) (release func(), err error)
-	// Forward runs a request in another availability zone; a nil Forward keeps all work here.
-	Forward func(ctx context.Context, req Request, emit func(Event) error) error
+	// OtherZones returns the peer addresses of daemons in other availability zones, in the order to try.
+	OtherZones func() []string
+	// Forward runs a request at a daemon of another availability zone.
+	Forward func(ctx context.Context, adr string, req Request, emit func(Event) error) error
+	// Attach acts on a request in progress at another daemon.
+	Attach func(ctx context.Context, adr string, att Attachment, emit func(Event) error) error
+	// Sent and Retry count against the retry budgets; Retry reports whether a retry is left.
+	Sent  func(workspace, group string)
+	Retry func(workspace, group string) bool
+	// Announce tells the daemons of the zone about a crash and returns once they know or time is up.
+	Announce func(ctx context.Context, crs quarantine.Crash)
+	// Place returns the group on which a copy of a request may run, given the chosen one; see quarantine.
+	Place func(ctx context.Context, fpr quarantine.Fingerprint, group, from, holder string) string
+	// TryHold takes a slot that one holder in the zone has at a time, and keeps it until release.
+	TryHold func(ctx context.Context, key, holder string) (release func(), ok bool)
+}
+
+// Config is the identity and the times of a dispatcher.
+type Config struct {
+	AvailabilityZone string
+	// Self is IP:port of this daemon's peer listener.
+	Self string
+	// TokenKey authenticates resume tokens.
+	TokenKey []byte
+	// ResumeWindow is the time for which a stream waits for its caller to come back.
+	ResumeWindow time.Duration
 }
 
 // Dispatcher runs requests on the groups of this daemon's availability zone.
 type Dispatcher struct {
-	zone string
-	key  []byte
-	sea  Seams
-	inv  *inventory.Inventory
-	tab  *evidence.Table
-	clk  clockwork.Clock
-	log  *zap.Logger
+	cfg Config
+	sea Seams
+	inv *inventory.Inventory
+	tab *evidence.Table
+	qua *quarantine.Quarantine
+	cnt counters
+	clk clockwork.Clock
+	log *zap.Logger
+
+	mu       sync.Mutex
+	runs     map[string]*run
+	draining bool
+	active   sync.WaitGroup
 }
 
-// New returns a dispatcher for an availability zone; key authenticates resume tokens.
+// New returns a dispatcher; the metrics registry gets its counters.
 func New(
-	zone string,
-	key []byte,
+	cfg Config,
 	sea Seams,
 	inv *inventory.Inventory,
 	tab *evidence.Table,
+	qua *quarantine.Quarantine,
+	met metrics.Registry,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *Dispatcher {
 	return &Dispatcher{
-		zone: zone,
-		key:  key,
+		cfg:  cfg,
 		sea:  sea,
 		inv:  inv,
 		tab:  tab,
+		qua:  qua,
+		cnt:  newCounters(met),
 		clk:  clk,
 		log:  log.Named("dispatch"),
+		runs: map[string]*run{},
 	}
 }
 
 // Generate runs a request and hands each piece of the answer to emit. It forwards the request to
-// another availability zone when none of this zone's groups can take it and nothing was emitted.
+// another availability zone when none of this zone's groups can take it.
 func (dsp *Dispatcher) Generate(ctx context.Context, req Request, emit func(Event) error) error {
-	run := &run{
-		dsp:  dsp,
-		req:  req,
-		emit: emit,
-		lost: map[string]bool{},
-	}
-	err := run.local(ctx)
-	var ref *refusal.Refusal
-	if dsp.sea.Forward != nil && run.text.Len() == 0 && errors.As(err, &ref) && ref.Status == 503 {
-		return dsp.sea.Forward(ctx, req, emit)
+	run, err := dsp.start(req, false)
+	if err != nil {
+		return errors.Trace(err)
 	}
-	return err
+	return dsp.follow(ctx, run, 0, emit)
 }
 
 // GenerateLocal runs a request that another zone has forwarded; it is not forwarded again.
 func (dsp *Dispatcher) GenerateLocal(ctx context.Context, req Request, emit func(Event) error) error {
-	run := &run{
-		dsp:  dsp,
-		req:  req,
-		emit: emit,
-		lost: map[string]bool{},
+	run, err := dsp.start(req, true)
+	if err != nil {
+		return errors.Trace(err)
 	}
-	return run.local(ctx)
+	return dsp.follow(ctx, run, 0, emit)
 }
 
-// candidates returns the groups that serve a model and whose members are all confirmed.
-func (dsp *Dispatcher) candidates(req Request, lost map[string]bool) []Candidate {
-	if dsp.inv.Zone(dsp.zone).Out {
-		return nil
+func (dsp *Dispatcher) start(req Request, forwarded bool) (*run, error) {
+	run := newRun(dsp, req.RequestID, forwarded)
+	run.req = req
+	run.forwarded = forwarded
+	run.attempt = req.Attempt
+	for _, crs := range req.Crashes {
+		dsp.qua.Record(crs, dsp.clk.Now())
 	}
-	now := dsp.clk.Now()
-	var cands []Candidate
-	for _, alc := range dsp.inv.Allocations(dsp.zone) {
-		for _, grp := range alc.Groups {
-			if grp.Model != req.Model || grp.Draining || lost[grp.Name] {
-				continue
-			}
-			if rep, ok := dsp.tab.Complete(grp, now); ok {
-				cands = append(cands, Candidate{
-					Group:  grp,
-					Report: rep,
-				})
-			}
-		}
+	if !dsp.register(run) {
+		return nil, refusal.Unavailable("this entry VM is stopping", comeBack)
 	}
-	return cands
-}
-
-// run is one request in progress.
-type run struct {
-	dsp     *Dispatcher
-	req     Request
-	emit    func(Event) error
-	attempt int
-	text    strings.Builder
-	lost    map[string]bool
+	run.launch(req.Deadline, run.generate)
+	return run, nil
 }
 
-func (run *run) local(ctx context.Context) error {
-	for run.attempt < maxAttempts {
-		cands := run.dsp.candidates(run.req, run.lost)
-		if len(cands) == 0 {
-			break
-		}
-		cand := run.dsp.sea.Choose(run.req, cands)
-		release, err := run.dsp.sea.Acquire(ctx, run.req, cand)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		err = run.send(ctx, cand)
-		release()
-		if err == nil || !errors.Is(err, errReplica) {
-			return errors.Trace(err)
-		}
-		run.dsp.log.Warn("a replica failed a request",
-			zap.String("request", run.req.RequestID),
-			zap.String("group", cand.Group.Name),
-			zap.Int("attempt", run.attempt),
-			zap.Error(err),
-		)
-		run.lost[cand.Group.Name] = true
-		run.attempt++
-	}
-	if run.text.Len() > 0 {
-		return refusal.UnknownOutcome("the replica was lost and no other can go on", comeBack)
-	}
-	return refusal.Unavailable("no group of the model "+run.req.Model+" can take the request", comeBack)
+// register takes a run into the table unless the daemon is stopping.
+func (dsp *Dispatcher) register(run *run) bool {
+	dsp.mu.Lock()
+	defer dsp.mu.Unlock()
+	if dsp.draining {
+		return false
+	}
+	dsp.runs[run.id] = run
+	dsp.active.Add(1)
+	dsp.cnt.inProgress.Update(int64(len(dsp.runs)))
+	return true
 }
 
-// errReplica says that a replica failed and that another one may go on.
-const errReplica = errors.ConstError("dispatch: replica failed")
-
-func (run *run) send(ctx context.Context, cand Candidate) error {
-	lead := cand.Group.Members[0]
-	// Choosing and waiting for a permit took time, so the evidence is checked again at the moment of sending.
-	if _, ok := run.dsp.tab.Complete(cand.Group, run.dsp.clk.Now()); !ok {
-		return errors.Annotate(errReplica, "a member is missing")
-	}
-	str, err := run.dsp.sea.Generate(ctx, lead.Address, backend.StreamRequest{
-		RequestID: run.req.RequestID,
-		Attempt:   run.attempt,
-		Model:     run.req.Model,
-		Adapter:   run.req.Adapter,
-		Prompt:    run.req.Prompt,
-		MaxTokens: run.req.MaxTokens,
-		Priority:  run.req.Priority,
-		Continue:  run.text.String(),
-	})
-	if err != nil {
-		return run.sendError(ctx, lead, err)
-	}
-	tok := stream.Token{
-		RequestID: run.req.RequestID,
-		Attempt:   run.attempt,
-		Address:   lead.Address,
-		Workspace: run.req.Workspace,
-		Model:     run.req.Model,
-		Chat:      run.req.Chat,
+func (dsp *Dispatcher) remove(run *run) {
+	dsp.mu.Lock()
+	defer dsp.mu.Unlock()
+	if dsp.runs[run.id] == run {
+		delete(dsp.runs, run.id)
+		dsp.cnt.inProgress.Update(int64(len(dsp.runs)))
 	}
-	return run.dsp.relay(ctx, tok, str, 0, func(evt Event) error {
-		run.text.WriteString(evt.Text)
-		return run.emit(evt)
-	})
+	dsp.active.Done()
 }
 
-func (run *run) sendError(ctx context.Context, lead group.Member, err error) error {
-	if ctx.Err() != nil {
-		return errors.Trace(ctx.Err())
-	}
-	if errors.Is(err, backend.ErrInvalid) {
-		return refusal.Invalid("the engine rejected the request")
-	}
-	if errors.Is(err, backend.ErrNotSent) {
-		run.dsp.tab.Forget(lead.VM)
-	}
-	return errors.Annotate(errReplica, err.Error())
+func (dsp *Dispatcher) find(requestID string) *run {
+	dsp.mu.Lock()
+	defer dsp.mu.Unlock()
+	return dsp.runs[requestID]
 }
 
-// relay hands the frames of a stream to emit and opens the stream again when it breaks.
-func (dsp *Dispatcher) relay(ctx context.Context, tok stream.Token, str *backend.Stream, from int, emit func(Event) error) error {
-	text := tok.Encode(dsp.key)
-	asm := stream.New(tok.RequestID, tok.Attempt, from)
-	for resumes := 0; ; resumes++ {
-		done, err := copyFrames(asm, str, text, emit)
-		str.Close()
-		if done || !errors.Is(err, errReplica) {
-			dsp.cancelIfGone(ctx, tok)
-			return err
-		}
-		if ctx.Err() != nil || resumes == maxResumes {
-			return err
-		}
-		str, err = dsp.sea.Resume(ctx, tok.Address, tok.RequestID, tok.Attempt, asm.Next())
-		if err != nil {
-			return errors.Annotate(errReplica, err.Error())
-		}
+// Drain refuses new requests and waits until those in progress have ended, including those that run
+// for other daemons and those that wait for their caller to come back, or until ctx ends.
+func (dsp *Dispatcher) Drain(ctx context.Context) {
+	dsp.mu.Lock()
+	dsp.draining = true
+	dsp.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		dsp.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		dsp.log.Error("requests were still in progress at the end of the drain timeout")
 	}
 }
 
-// cancelIfGone leaves the stream of a caller that is gone to the engine, which keeps it for a resume.
-func (dsp *Dispatcher) cancelIfGone(ctx context.Context, tok stream.Token) {
-	if ctx.Err() != nil {
-		dsp.log.Debug("left a stream at its engine", zap.String("request", tok.RequestID))
+// candidates returns the groups that serve a model and whose members are all confirmed.
+func (dsp *Dispatcher) candidates(req Request, lost map[string]uint64) []Candidate {
+	if dsp.inv.Zone(dsp.cfg.AvailabilityZone).Out {
+		return nil
 	}
-}
-
-func copyFrames(asm *stream.Assembler, str *backend.Stream, token string, emit func(Event) error) (bool, error) {
-	for {
-		frm, err := str.Next()
-		if err != nil {
-			return false, errors.Annotate(errReplica, err.Error())
-		}
-		ok, err := asm.Accept(frm)
-		if err != nil {
-			return false, errors.Annotate(errReplica, err.Error())
-		}
-		if !ok {
-			continue
-		}
-		evt := Event{
-			Token:    token,
-			Sequence: frm.Sequence,
-			Text:     frm.Text,
-			Finish:   frm.Finish,
-		}
-		if err := emit(evt); err != nil {
-			return false, errors.Trace(err)
-		}
-		if frm.Finish != "" {
-			return true, nil
+	now := dsp.clk.Now()
+	var cands []Candidate
+	for _, alc := range dsp.inv.Allocations(dsp.cfg.AvailabilityZone) {
+		for _, grp := range alc.Groups {
+			// A group that failed this request is a candidate again once its members have changed.
+			if fnc, ok := lost[grp.Name]; grp.Model != req.Model || grp.Draining || (ok && fnc == grp.Fencing) {
+				continue
+			}
+			if rep, ok := dsp.tab.Complete(grp, now); ok {
+				cands = append(cands, Candidate{
+					Group:  grp,
+					Report: rep,
+				})
+			}
 		}
 	}
-}
-
-// Resume goes on with a stream after the frame with sequence number last.
-func (dsp *Dispatcher) Resume(ctx context.Context, tok stream.Token, last int, emit func(Event) error) error {
-	str, err := dsp.sea.Resume(ctx, tok.Address, tok.RequestID, tok.Attempt, last+1)
-	if err != nil {
-		return refusal.UnknownOutcome("the stream is no longer held; ask again", comeBack)
-	}
-	err = dsp.relay(ctx, tok, str, last+1, emit)
-	if errors.Is(err, errReplica) {
-		return refusal.UnknownOutcome("the replica was lost; ask again", comeBack)
-	}
-	return err
+	return cands
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	"go.uber.org/dig"
 	"go.uber.org/zap"
@@ -14,6 +15,7 @@
 	"github.com/cumintally/cumintally/internal/booking"
 	"github.com/cumintally/cumintally/internal/caller"
 	"github.com/cumintally/cumintally/internal/controller"
+	"github.com/cumintally/cumintally/internal/dispatch"
 	"github.com/cumintally/cumintally/internal/gossip"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/operator"
@@ -38,6 +40,7 @@
 	dig.In
 
 	Settings   *settings.Settings
+	Clock      clockwork.Clock
 	Log        *zap.Logger
 	Mesh       *peer.Mesh
 	Membership *zone.Membership
@@ -49,6 +52,8 @@
 	Controller *controller.Controller
 	ZoneOrders *zoneorder.Orders
 	Limits     *limits
+	Suspects   *suspects
+	Dispatcher *dispatch.Dispatcher
 	Caller     *caller.Handler
 	Ledger     *booking.Ledger
 	Operator   *operator.Handler
@@ -103,16 +108,8 @@
 	wgr.Go(func() { ent.dep.Controller.Run(control) })
 	log.Info("entry VM is up", zap.String("name", set.Entry.Name), zap.String("callers", set.Listen.Callers))
 	<-ctx.Done()
-	log.Info("entry VM is stopping")
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), set.Requests.DrainTimeout)
-	defer cancel()
 	stopControl()
-	ent.dep.Membership.Leave(drain)
-	ent.dep.Caller.Drain(drain)
-	ent.dep.Ledger.Drain(drain)
-	for _, srv := range servers {
-		_ = srv.Shutdown(drain)
-	}
+	ent.stop(context.WithoutCancel(ctx), servers)
 	stopLoops()
 	wgr.Wait()
 	ent.dep.Mesh.Close()
@@ -129,6 +126,7 @@
 	wgr.Go(func() { ent.dep.ZoneOrders.Run(ctx) })
 	wgr.Go(func() { fol.followVMs(ctx) })
 	wgr.Go(func() { ent.dep.Limits.Run(ctx) })
+	wgr.Go(func() { ent.dep.Suspects.run(ctx) })
 	wgr.Go(func() { fol.settle(ctx) })
 	wgr.Go(func() { ent.dep.Sampler.run(ctx) })
 	for _, kind := range []string{platform.KindAllocation, platform.KindZone, platform.KindDocument} {
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -13,6 +13,7 @@
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/peer"
 	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/workspace"
 	"github.com/cumintally/cumintally/internal/zone"
@@ -38,6 +39,8 @@
 	newController,
 	newZoneOrders,
 	newLimits,
+	quarantine.New,
+	newSuspects,
 	newDispatcher,
 	newLedger,
 	newServiceCaller,
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -1,11 +1,8 @@
 package entry
 
 import (
-	"context"
-	"math/rand/v2"
-	"time"
-
 	"github.com/jonboulle/clockwork"
+	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/dig"
 	"go.uber.org/zap"
 
@@ -16,8 +13,7 @@
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
-	"github.com/cumintally/cumintally/internal/refusal"
+	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/servicecall"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/workspace"
@@ -36,67 +32,51 @@
 	Log        *zap.Logger
 }
 
-const kindForward = "Forward"
+// dispatchParts are the parts that the dispatcher needs.
+type dispatchParts struct {
+	dig.In
 
-func newDispatcher(
-	set *settings.Settings,
-	bck *backend.Client,
-	msh *peer.Mesh,
-	inv *inventory.Inventory,
-	tab *evidence.Table,
-	lms *limits,
-	clk clockwork.Clock,
-	log *zap.Logger,
-) *dispatch.Dispatcher {
-	sea := dispatch.Seams{
-		Generate: lms.generate,
-		Resume:   lms.resume,
-		Cancel:   bck.Cancel,
-		Choose:   lms.choose,
-		Acquire:  lms.acquire,
-		Forward:  forward(set, msh, inv),
-	}
-	dsp := dispatch.New(set.Entry.AvailabilityZone, []byte(set.Peers.Key), sea, inv, tab, clk, log)
-	msh.HandleStream(kindForward, func(ctx context.Context, _ peer.Identity, body []byte, send func(any) error) error {
-		var req dispatch.Request
-		if err := peer.Decode(body, &req); err != nil {
-			return err
-		}
-		return dsp.GenerateLocal(ctx, req, func(evt dispatch.Event) error { return send(evt) })
-	})
-	return dsp
+	Settings   *settings.Settings
+	Backend    *backend.Client
+	Mesh       *peer.Mesh
+	Inventory  *inventory.Inventory
+	Table      *evidence.Table
+	Quarantine *quarantine.Quarantine
+	Suspects   *suspects
+	Limits     *limits
+	Workspaces *workspace.Registry
+	Metrics    metrics.Registry
+	Clock      clockwork.Clock
+	Log        *zap.Logger
 }
 
-// forward runs a request at an entry VM of another zone that is in service.
-func forward(set *settings.Settings, msh *peer.Mesh, inv *inventory.Inventory) func(context.Context, dispatch.Request, func(dispatch.Event) error) error {
-	return func(ctx context.Context, req dispatch.Request, emit func(dispatch.Event) error) error {
-		var adrs []string
-		vms := inv.VMs()
-		for _, vmc := range vms {
-			if vmc.Role == platform.RoleEntry && vmc.AvailabilityZone != set.Entry.AvailabilityZone && !inv.Zone(vmc.AvailabilityZone).Out {
-				adrs = append(adrs, vmc.Address)
-			}
-		}
-		rand.Shuffle(len(adrs), func(fst, snd int) { adrs[fst], adrs[snd] = adrs[snd], adrs[fst] })
-		for _, adr := range adrs {
-			emitted := false
-			err := msh.Stream(ctx, adr, kindForward, req, func(data []byte) error {
-				var evt dispatch.Event
-				if err := peer.Decode(data, &evt); err != nil {
-					return err
-				}
-				emitted = true
-				return emit(evt)
-			})
-			if err == nil {
-				return nil
-			}
-			if emitted {
-				return refusal.UnknownOutcome("the entry VM of the other zone was lost", time.Second)
-			}
-		}
-		return refusal.Unavailable("no availability zone can take the request", time.Second)
+func newDispatcher(deps dispatchParts) *dispatch.Dispatcher {
+	set := deps.Settings
+	sea := dispatch.Seams{
+		Generate:   deps.Limits.generate,
+		Resume:     deps.Limits.resume,
+		Cancel:     deps.Backend.Cancel,
+		Report:     deps.Backend.Report,
+		Choose:     deps.Limits.choose,
+		Acquire:    deps.Limits.acquire,
+		OtherZones: otherZones(set, deps.Inventory),
+		Forward:    forward(deps.Mesh),
+		Attach:     attach(deps.Mesh),
+		Sent:       deps.Workspaces.Sent,
+		Retry:      deps.Workspaces.Retry,
+		Announce:   deps.Suspects.announce,
+		Place:      deps.Suspects.place,
+		TryHold:    deps.Suspects.tryHold,
+	}
+	cfg := dispatch.Config{
+		AvailabilityZone: set.Entry.AvailabilityZone,
+		Self:             set.Listen.Peers,
+		TokenKey:         []byte(set.Peers.Key),
+		ResumeWindow:     set.Requests.ResumeWindow,
 	}
+	dsp := dispatch.New(cfg, sea, deps.Inventory, deps.Table, deps.Quarantine, deps.Metrics, deps.Clock, deps.Log)
+	serveForwarded(deps.Mesh, dsp, deps.Clock)
+	return dsp
 }
 
 func newCaller(deps callerParts) *caller.Handler {
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -43,6 +43,8 @@
 		row("Requests", "MaxBodySize", "1048576", "largest request body in bytes", integer(&set.Requests.MaxBodySize, 1024, 64<<20)),
 		row("Requests", "Timeout", "120s", "longest time of one request", duration(&set.Requests.Timeout, time.Second, time.Hour)),
 		row("Requests", "DrainTimeout", "300s", "longest time that a stop waits for requests in progress", duration(&set.Requests.DrainTimeout, time.Second, time.Hour)),
+		row("Requests", "ResumeWindow", "30s", "time for which a stream waits for a caller that lost it", duration(&set.Requests.ResumeWindow, 100*time.Millisecond, time.Hour)),
+		row("Requests", "StopNotice", "2s", "time between failing /readyz and refusing new requests at a stop", duration(&set.Requests.StopNotice, 0, time.Minute)),
 		row("Bookings", "Buckets", "32", "number of idempotency buckets of a new environment; fixed by its first keyed call",
 			integer(&set.Bookings.Buckets, 1, 4096)),
 		row("Bookings", "BatchTime", "50ms", "least mean time between two writes of a bucket by one daemon", duration(&set.Bookings.BatchTime, 0, time.Second)),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,10 @@
 	MaxBodySize  int
 	Timeout      time.Duration
 	DrainTimeout time.Duration
+	// ResumeWindow is the time for which a stream waits for a caller that lost its connection.
+	ResumeWindow time.Duration
+	// StopNotice is the time between failing readiness and refusing new requests.
+	StopNotice time.Duration
 }
 
 // Bookings bounds the records of idempotency keys.
