--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 .PHONY: build run test race vet lint format spec bench-relay fuzz
 .PHONY: build run test race vet lint format spec bench-relay bench-policy
 .PHONY: build run test race vet lint format spec prove-bookings bench-bookings
+.PHONY: build run test race vet lint format spec prove-streams
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -74,3 +75,6 @@
 		-count=1 -v -rapid.checks=10000 -rapid.seed=$(SEED) | grep -E '^(invariant|FAIL|ok)|_test.go'
 	set -o pipefail; $(GO) test ./test/groups -count=1 -v -args -seed $(SEED) -steps 12 | grep -E '^(invariant|figure|script|FAIL|ok)|_test.go'
 	spec/groups/check.sh
+# prove-streams runs 2,000 streams under faults and prints one line per invariant; SEED=0 takes a new seed.
+prove-streams:
+	$(GO) test ./test/requests -run TestProveStreams -count 1 -timeout 10m -v -streams 2000 -seed $(SEED)
