--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 .PHONY: build run test race vet lint format spec bench-relay fuzz
 .PHONY: build run test race vet lint format spec bench-relay bench-policy
 .PHONY: build run test race vet lint format spec prove-zones prove-bookings bench-bookings
+.PHONY: build run test race vet lint format spec prove-bookings bench-bookings
+.PHONY: build run test race vet lint format spec prove-streams
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -77,3 +79,6 @@
 
 prove-zones:
 	$(GO) test ./test/zones -v -count=1
+# prove-streams runs 2,000 streams under faults and prints one line per invariant; SEED=0 takes a new seed.
+prove-streams:
+	$(GO) test ./test/requests -run TestProveStreams -count 1 -timeout 10m -v -streams 2000 -seed $(SEED)
