--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,7 +44,9 @@
 	zone    string
 	inForce func() *document.Document
 	clk     clockwork.Clock
-	shards  [shardCount]shard
+	// changing says that a zone is out or has just returned.
+	changing atomic.Bool
+	shards   [shardCount]shard
 }
 
 type shard struct {
@@ -81,6 +84,20 @@
 	rec.Events(indicator, model, workspace, good, 1)
 }
 
+// SetChanging says whether a zone is out or has just returned.
+func (rec *Recorder) SetChanging(changing bool) {
+	rec.changing.Store(changing)
+}
+
+// Answered counts a request as answered whole or not, and also as served during a change of zones if
+// one is out or has just returned.
+func (rec *Recorder) Answered(model, workspace string, good bool) {
+	rec.Event(document.IndicatorAnswered, model, workspace, good)
+	if rec.changing.Load() {
+		rec.Event(document.IndicatorZoneChange, model, workspace, good)
+	}
+}
+
 // Events counts several events at once.
 func (rec *Recorder) Events(indicator document.Indicator, model, workspace string, good bool, num uint64) {
 	rec.each(indicator, func(lvl document.ServiceLevel) {
--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -70,7 +70,9 @@
 		return
 	}
 	out := newWriter(rsw, req, requestID(req.Context()), crq.Model, chat, crq.Stream)
-	err := hnd.dsp.Generate(req.Context(), drq, out.event)
+	obs := newObserver(hnd.rec, hnd.clk, drq.Model, drq.Workspace)
+	err := hnd.dsp.Generate(req.Context(), drq, obs.watch(out.event))
+	obs.end(err, req.Context().Err() != nil)
 	hnd.end(req, out, err)
 }
 
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/burn"
 	"github.com/cumintally/cumintally/internal/dispatch"
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/refusal"
@@ -36,6 +37,7 @@
 	cal *servicecall.Caller
 	reg *workspace.Registry
 	sto *generation.Store
+	rec *burn.Recorder
 	clk clockwork.Clock
 	log *zap.Logger
 
@@ -54,6 +56,7 @@
 	cal *servicecall.Caller,
 	reg *workspace.Registry,
 	sto *generation.Store,
+	rec *burn.Recorder,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *Handler {
@@ -63,6 +66,7 @@
 		cal: cal,
 		reg: reg,
 		sto: sto,
+		rec: rec,
 		clk: clk,
 		log: log.Named("caller"),
 	}
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -37,6 +37,9 @@
 		Body:           body,
 		Deadline:       ddl,
 	})
+	if (err == nil || isFailure(asRefusal(err))) && req.Context().Err() == nil {
+		hnd.rec.Answered(chi.URLParam(req, "service"), wsp.Name, err == nil)
+	}
 	if err != nil {
 		hnd.log.Info("a service call failed",
 			zap.String("request", requestID(req.Context())),
--- a/internal/entry/burn.go
+++ b/internal/entry/burn.go
@@ -17,6 +17,9 @@
 	"github.com/cumintally/cumintally/pkg/document"
 )
 
+// returnTime is the time for which a zone that is back still counts as returning.
+const returnTime = 5 * time.Minute
+
 // sampleInterval is the time between two looks at the groups and VMs of the zone.
 const sampleInterval = time.Second
 
@@ -55,6 +58,8 @@
 	inv  *inventory.Inventory
 	tab  *evidence.Table
 	clk  clockwork.Clock
+	// lastOut is when a zone of the document was last seen out.
+	lastOut time.Time
 }
 
 func newSampler(
@@ -79,6 +84,7 @@
 
 func (smp *sampler) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		smp.noteZones()
 		if smp.fol.place("samples") == 0 {
 			smp.sample()
 		}
@@ -89,6 +95,20 @@
 	}
 }
 
+// noteZones tells the recorder whether a zone is out or has just returned.
+func (smp *sampler) noteZones() {
+	doc := smp.sto.InForce().Document
+	if doc == nil {
+		return
+	}
+	for _, azn := range doc.AvailabilityZones {
+		if smp.inv.Zone(azn.Name).Out {
+			smp.lastOut = smp.clk.Now()
+		}
+	}
+	smp.rec.SetChanging(!smp.lastOut.IsZero() && smp.clk.Since(smp.lastOut) < returnTime)
+}
+
 func (smp *sampler) sample() {
 	doc := smp.sto.InForce().Document
 	if doc == nil {
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/backend"
+	"github.com/cumintally/cumintally/internal/burn"
 	"github.com/cumintally/cumintally/internal/caller"
 	"github.com/cumintally/cumintally/internal/dispatch"
 	"github.com/cumintally/cumintally/internal/evidence"
@@ -28,6 +29,7 @@
 	Services   *servicecall.Caller
 	Workspaces *workspace.Registry
 	Store      *generation.Store
+	Recorder   *burn.Recorder
 	Clock      clockwork.Clock
 	Log        *zap.Logger
 }
@@ -86,5 +88,5 @@
 		Timeout:     set.Requests.Timeout,
 		TokenKey:    []byte(set.Peers.Key),
 	}
-	return caller.New(cfg, deps.Dispatcher, deps.Services, deps.Workspaces, deps.Store, deps.Clock, deps.Log)
+	return caller.New(cfg, deps.Dispatcher, deps.Services, deps.Workspaces, deps.Store, deps.Recorder, deps.Clock, deps.Log)
 }
