Check at the moment of sending that a group may still get work

A request waits up to 5 s for a permit. Only the evidence of the members was checked again after that, so a request could go to a zone taken out more than 3 s ago, or to a group that drains. Now the zone and the allocation are checked too, while waiting and at the moment of sending; a request whose group closes is placed anew. TestClosedWhileWaiting failed in the cases 'zone out', 'draining' and 'dissolved' with one request sent and passes now.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -220,3 +220,20 @@
 	}
 	return cands
 }
+
+// open reports whether a group may still get work: its zone is in service, it is still allocated and not
+// draining, and all members are confirmed. A choice made some seconds ago may no longer hold.
+func (dsp *Dispatcher) open(grp group.Group) bool {
+	if dsp.inv.Zone(dsp.cfg.AvailabilityZone).Out {
+		return false
+	}
+	for _, alc := range dsp.inv.Allocations(dsp.cfg.AvailabilityZone) {
+		for _, now := range alc.Groups {
+			if now.Name == grp.Name && now.Fencing == grp.Fencing && !now.Draining {
+				_, ok := dsp.tab.Complete(now, dsp.clk.Now())
+				return ok
+			}
+		}
+	}
+	return false
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -140,6 +140,10 @@
 			sends++
 			continue
 		}
+		if errors.Is(err, errUnsent) && unsent < maxUnsent {
+			unsent++
+			continue
+		}
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -234,13 +238,13 @@
 	return nil
 }
 
-// acquire takes a permit; the wait ends when a member of the group is missing.
+// acquire takes a permit; the wait ends when the group may get no more work.
 func (run *run) acquire(ctx context.Context, cand Candidate) (func(), error) {
 	wait, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		for wait.Err() == nil {
-			if _, ok := run.dsp.tab.Complete(cand.Group, run.dsp.clk.Now()); !ok {
+			if !run.dsp.open(cand.Group) {
 				cancel()
 				return
 			}
@@ -252,7 +256,7 @@
 	}()
 	release, err := run.dsp.sea.Acquire(wait, run.req, cand)
 	if err != nil && wait.Err() != nil && ctx.Err() == nil {
-		return nil, run.refuse("a member of the group is missing")
+		return nil, errors.Annotate(errUnsent, "the group takes no new work, or a member is missing")
 	}
 	return release, errors.Trace(err)
 }
@@ -262,9 +266,9 @@
 	if ctx.Err() != nil {
 		return errors.Trace(ctx.Err())
 	}
-	// Choosing and waiting for a permit took time, so the evidence is checked again at the moment of sending.
-	if _, ok := dsp.tab.Complete(cand.Group, dsp.clk.Now()); !ok {
-		return errors.Annotate(errReplica, "a member is missing")
+	// Choosing and waiting for a permit took time, so the group is checked again at the moment of sending.
+	if !dsp.open(cand.Group) {
+		return errors.Annotate(errReplica, "the group takes no new work, or a member is missing")
 	}
 	born := dsp.incarnations(cand.Group)
 	lead := cand.Group.Members[0]
