--- a/internal/standin/fleet/build.go
+++ b/internal/standin/fleet/build.go
@@ -17,7 +17,11 @@
 	if err != nil {
 		return "", errors.Trace(err)
 	}
-	cmd := exec.Command("go", "build", "-o", dir+string(filepath.Separator), module+"/cmd/...")
+	args := []string{"build", "-o", dir + string(filepath.Separator)}
+	if raceDetector {
+		args = append(args, "-race")
+	}
+	cmd := exec.Command("go", append(args, module+"/cmd/...")...)
 	if out, err := cmd.CombinedOutput(); err != nil {
 		return "", errors.Annotatef(err, "go build: %s", out)
 	}
