Give each fleet with links its own addresses; start again on a taken port

Two fleets with links at the same time used the same addresses 127.0.x.y, and one relay's listener met 409 Conflict because the other fleet had taken the port between its choice and its use (seen of test/zones, on three fleets side by side). The second part of the address is now drawn for each fleet, and a relay that cannot listen counts as a process that ended at the start, after which the start is tried again.

--- a/internal/standin/fleet/cut.go
+++ b/internal/standin/fleet/cut.go
@@ -11,7 +11,7 @@
 	"github.com/cumintally/cumintally/internal/standin/link"
 )
 
-// Parts of an address 127.0.<zone>.<number> in a fleet with links.
+// Parts of an address 127.<fleet>.<zone>.<number> in a fleet with links.
 const (
 	// PlatformZone stands in the place of a zone's number for the platform.
 	PlatformZone = 200
@@ -27,7 +27,7 @@
 	if !flt.cfg.Links {
 		return unnumbered
 	}
-	return netip.AddrFrom4([4]byte{127, 0, byte(zone), byte(num)})
+	return netip.AddrFrom4([4]byte{127, flt.net, byte(zone), byte(num)})
 }
 
 // advertise puts a relay in front of an address and returns the relay's, or the same without links.
@@ -43,10 +43,15 @@
 	if err != nil {
 		return "", errors.Trace(err)
 	}
-	return adrs[0], send(ctx, http.MethodPut, "http://"+flt.Links.Address+"/relays", link.Relay{
+	err = send(ctx, http.MethodPut, "http://"+flt.Links.Address+"/relays", link.Relay{
 		Listen: netip.MustParseAddrPort(adrs[0]),
 		Target: target,
 	})
+	if err != nil {
+		// Another process may have taken the port, as when a process ends at its start.
+		return "", errors.Annotate(ErrEnded, err.Error())
+	}
+	return adrs[0], nil
 }
 
 // Cut replaces the cuts between processes; none heals all.
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -61,6 +61,9 @@
 	Engines  []*Engine
 	Services []*Process
 
+	// net is the second part of the fleet's addresses, so that fleets at the same time do not take each
+	// other's.
+	net byte
 	// platform is the address at which daemons reach the platform.
 	platform string
 }
@@ -96,6 +99,7 @@
 	for range maxStarts {
 		flt := &Fleet{
 			cfg: cfg,
+			net: byte(1 + rand.IntN(254)),
 		}
 		if err = flt.start(ctx); err == nil {
 			return flt, nil
@@ -160,7 +164,8 @@
 		domain := fmt.Sprintf("%s-fabric-%d", zon, dom+1)
 		for idx := range flt.cfg.VMsPerDomain {
 			name := fmt.Sprintf("%s-vm-%d", domain, idx+1)
-			prc, err := flt.standin(flt.address(num, firstEngine+dom*flt.cfg.VMsPerDomain+idx), name, "engine", append([]string{"--vm", name, "--platform", flt.Platform.Address}, flt.cfg.EngineArgs...)...)
+			ip := flt.address(num, firstEngine+dom*flt.cfg.VMsPerDomain+idx)
+			prc, err := flt.standin(ip, name, "engine", append([]string{"--vm", name, "--platform", flt.Platform.Address}, flt.cfg.EngineArgs...)...)
 			if err != nil {
 				return errors.Trace(err)
 			}
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -174,8 +174,8 @@
 	pumps.Go(func() { lks.pump(src, dst, client, server) })
 	pumps.Go(func() { lks.pump(dst, src, server, client) })
 	pumps.Wait()
-	client.Close()
-	server.Close()
+	_ = client.Close()
+	_ = server.Close()
 }
 
 // refuse resets an open connection as soon as a cut of kind Refuse holds for it.
@@ -231,5 +231,5 @@
 // reset closes a connection such that the other end sees it broken.
 func reset(con *net.TCPConn) {
 	_ = con.SetLinger(0)
-	con.Close()
+	_ = con.Close()
 }
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -97,10 +97,11 @@
 	}
 	_ = cli.con.SetReadDeadline(time.Now().Add(within))
 	_, err := cli.rdr.ReadString('\n')
-	switch ner, ok := err.(net.Error); {
+	var ner net.Error
+	switch {
 	case err == nil:
 		return "line"
-	case ok && ner.Timeout():
+	case errors.As(err, &ner) && ner.Timeout():
 		return "nothing"
 	default:
 		return "reset"
