End the slot of a stream that was cancelled at its engine

The daemon reads the rest of a stream that its caller has left, to know when its slot is free. Since the dispatcher cancels streams at their engine, the connection of such a stream breaks at once on each attempt; the daemon tried again without a pause for up to the longest request and kept the slot.

--- a/internal/entry/flights.go
+++ b/internal/entry/flights.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -55,12 +56,20 @@
 	}
 }
 
+const (
+	// followPause spaces attempts to read the rest of a stream.
+	followPause = 200 * time.Millisecond
+	// followTries is the number of attempts without a frame after which a stream counts as ended: the
+	// connection of a stream that was cancelled at its engine breaks each time.
+	followTries = 3
+)
+
 // follow reads the rest of a stream that its caller has left.
 func (lms *limits) follow(requestID string, flt *flight) {
 	defer lms.end(flt)
 	ctx, cancel := context.WithTimeout(context.Background(), lms.set.Requests.Timeout)
 	defer cancel()
-	for ctx.Err() == nil {
+	for tries := 0; tries < followTries && ctx.Err() == nil; tries++ {
 		flt.mu.Lock()
 		attempt, next := flt.attempt, flt.next
 		flt.mu.Unlock()
@@ -70,16 +79,18 @@
 		}
 		for err == nil {
 			var frm backend.Frame
-			frm, err = str.Next()
-			if err == nil {
-				lms.frame(flt, frm)
+			if frm, err = str.Next(); err != nil {
+				break
 			}
+			tries = 0
+			lms.frame(flt, frm)
 			if frm.Finish != "" {
 				str.Close()
 				return
 			}
 		}
 		str.Close()
+		lms.clk.Sleep(followPause)
 	}
 }
 
