--- a/internal/booking/lane.go
+++ b/internal/booking/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -100,6 +101,14 @@
 	}
 }
 
+// yield waits a random part of BatchTime after a conflict, since two daemons that write at the same pace
+// would otherwise meet again at every write.
+func (lan *lane) yield() {
+	if most := int64(lan.led.cfg.BatchTime / 2); most > 0 {
+		lan.led.clk.Sleep(time.Duration(rand.Int64N(most)))
+	}
+}
+
 func (lan *lane) spend() {
 	if now := lan.led.clk.Now(); lan.budgetTime.Before(now) {
 		lan.budgetTime = now
@@ -146,6 +155,7 @@
 			// Reading the bucket again shows by the tokens which operations took effect.
 			lan.content = nil
 			lan.pace()
+			lan.yield()
 		default:
 			lan.fail(batch, err)
 			return
