--- a/Makefile
+++ b/Makefile
@@ -1,24 +1,29 @@
 GO ?= go
 BIN := bin
-
-.PHONY: build run test race vet lint format spec fuzz bench-relay bench-policy bench-bookings
-.PHONY: prove-bookings prove-streams prove-zones
+SEED ?= 1
+FUZZTIME ?= 10s
 
 # The tests listed in KNOWN-RED.txt are passed over, and no others.
 KNOWN_RED := $(shell sed -n 's/^Test: *//p' KNOWN-RED.txt | paste -sd '|')
 PASS_OVER := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
+.PHONY: build run test race vet format lint spec fuzz
+.PHONY: prove-control prove-config prove-groups prove-zones prove-requests prove-streams prove-bookings
+.PHONY: bench-relay bench-policy bench-bookings bench-control bench-capacity
+
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
+# Starts a whole environment with stand-ins, streams one chat answer, makes one booking, and stops it.
 run: build
 	$(BIN)/cumintally-standin run --binaries $(BIN)
 
+# Results are not cached, since the tests in test/ start programs that the cache does not know of.
 test: build
-	$(GO) test -count 1 $(PASS_OVER) ./...
+	$(GO) test -count=1 $(PASS_OVER) ./...
 
 race: build
-	$(GO) test -count 1 -race $(PASS_OVER) ./...
+	$(GO) test -count=1 -race $(PASS_OVER) ./...
 
 vet:
 	$(GO) vet ./...
@@ -33,15 +38,10 @@
 $(BIN)/golangci-lint: tools/go.mod
 	$(GO) build -C tools -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
 
+# Checks the models with SPIN; each mutation must be reported as a violation.
 spec:
 	spec/check.sh
 
-bench-capacity: build
-	$(BIN)/cumintally-standin capacity --binaries $(BIN)
-bench-relay: build
-	$(BIN)/cumintally-standin bench-relay --binaries $(BIN)
-
-FUZZTIME ?= 10s
 FUZZERS := ./internal/platform:FuzzAnswers ./internal/backend:FuzzReport ./internal/backend:FuzzFrames \
 	./internal/peer:FuzzHandshake ./internal/settings:FuzzSettings ./internal/stream:FuzzToken \
 	./internal/stream:FuzzEventID ./pkg/document:FuzzParse
@@ -50,27 +50,15 @@
 	set -e; for fuzzer in $(FUZZERS); do \
 		$(GO) test $${fuzzer%:*} -run '^$$' -fuzz "^$${fuzzer#*:}$$" -fuzztime $(FUZZTIME); \
 	done
-bench-policy: build
-	$(BIN)/cumintally-standin bench-policy --binaries $(BIN)
 
-bench-control:
-	$(GO) test -count=1 ./...ernal/group -run NONE -bench Plan
-	$(GO) test -count=1 ./...ernal/generation -run NONE -bench Difference -benchtime 100x
+# The prove targets print a line for each invariant: cases, seed, violations.
+prove-control: prove-config prove-groups prove-zones
 
 prove-config:
-	$(GO) test -count=1 ./...t/config -v -count=1
-	$(GO) test -count=1 ./...t/config -v -count=1 -run Burst -daemons 32
-	$(GO) test -count=1 ./...t/config -v -count=1 -run Burst -daemons 64
-
-# Makes keyed bookings under failures and prints one line per invariant.
-prove-bookings: build
-	$(GO) test -count=1 ./...t/bookings -count 1 -timeout 20m -run Failures -v -bookings 500 -seeds 4 -seed 1
-
-# Measures the platform's calls and the latency of keyed calls at several rates.
-bench-bookings: build
-	$(GO) test -count=1 ./...t/bookings -count 1 -timeout 20m -run Measure -v -measure 5s
-# prove-groups prints one line per invariant and the figures of the failure tests on processes.
-SEED ?= 1
+	$(GO) test ./test/config -v -count=1
+	$(GO) test ./test/config -v -count=1 -run Burst -daemons 32
+	$(GO) test ./test/config -v -count=1 -run Burst -daemons 64
+
 prove-groups: SHELL := /bin/bash
 prove-groups:
 	set -o pipefail; CUMINTALLY_PROVE=1 $(GO) test ./internal/group ./internal/lease ./internal/zoneorder -run 'Plan|OneHolder|Orders' \
@@ -79,7 +67,31 @@
 	spec/groups/check.sh
 
 prove-zones:
-	$(GO) test -count=1 ./...t/zones -v -count=1 $(PASS_OVER)
-# prove-streams runs 2,000 streams under faults and prints one line per invariant; SEED=0 takes a new seed.
+	$(GO) test ./test/zones -v -count=1 $(PASS_OVER)
+
+prove-requests: prove-streams prove-bookings
+
+# SEED=0 takes a new seed.
 prove-streams:
-	$(GO) test -count=1 ./...t/requests -run TestProveStreams -count 1 -timeout 10m -v -streams 2000 -seed $(SEED)
+	$(GO) test ./test/requests -run TestProveStreams -count=1 -timeout 10m -v -streams 2000 -seed $(SEED)
+
+prove-bookings:
+	$(GO) test ./test/bookings -count=1 -timeout 20m -run Failures -v -bookings 500 -seeds 4 -seed $(SEED)
+	spec/bookings/check.sh
+
+# The bench targets measure; docs/ names the pages that their figures stand on.
+bench-relay: build
+	$(BIN)/cumintally-standin bench-relay --binaries $(BIN)
+
+bench-policy: build
+	$(BIN)/cumintally-standin bench-policy --binaries $(BIN)
+
+bench-bookings:
+	$(GO) test ./test/bookings -count=1 -timeout 20m -run Measure -v -measure 5s
+
+bench-control:
+	$(GO) test ./internal/group -run NONE -bench Plan
+	$(GO) test ./internal/generation -run NONE -bench Difference -benchtime 100x
+
+bench-capacity: build
+	$(BIN)/cumintally-standin capacity --binaries $(BIN)
