Count only daemons with the same view for a limit in small zones

Cause: two daemons whose views differ can each take itself for the owner of a group and both count the third one, so the sides overlap and the rule for disjoint sides does not hold. TestColdLimitHolds now also cuts pairs: without the change it failed after 790 sequences ('entry-2 sent request 2 to a cold server that bears 1'); with it 20,000 passed.

Daemons send a hash of their view with each ping. One counts for a limit only while its view, heard in the last 1.5 s, is the same: two owners have different views, so nobody counts for both. Zones of more than 4 daemons do not compare views, since their pairs ping each other too seldom; that remains open.

--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -78,15 +78,11 @@
 // refresh tells the limiter and the queues what the daemon knows now.
 func (lms *limits) refresh() {
 	now := lms.clk.Now()
-	alive := lms.mbs.Alive()
-	names := make([]string, len(alive))
-	for idx, ide := range alive {
-		names[idx] = ide.Name
-	}
+	names := namesOf(lms.mbs.Alive())
 	if lms.set.Limits.Policy == policyStatic {
-		lms.lim.See([]string{lms.set.Entry.Name}, 1, now)
+		lms.lim.See([]string{lms.set.Entry.Name}, []string{lms.set.Entry.Name}, 1, now)
 	} else {
-		lms.lim.See(names, max(lms.mbs.Known(), lms.listed()), now)
+		lms.lim.See(names, namesOf(lms.mbs.Agreeing()), max(lms.mbs.Known(), lms.listed()), now)
 	}
 	dissolved := map[string]bool{}
 	for _, name := range lms.names() {
@@ -111,6 +107,14 @@
 	}
 }
 
+func namesOf(ids []peer.Identity) []string {
+	names := make([]string, len(ids))
+	for idx, ide := range ids {
+		names[idx] = ide.Name
+	}
+	return names
+}
+
 // listed counts the zone's entry VMs on the platform's list, this one included, so that a daemon that
 // has just started knows of those that it cannot reach.
 func (lms *limits) listed() int {
--- a/internal/permit/limiter.go
+++ b/internal/permit/limiter.go
@@ -56,9 +56,10 @@
 	}
 }
 
-// See takes the daemon's view of its availability zone: the names of the daemons alive and the number
-// of daemons known, itself included. It is called several times within ValidFor.
-func (lim *Limiter) See(alive []string, known int, now time.Time) {
+// See takes the daemon's view of its availability zone: the names of the daemons alive, which of them have
+// the same view, and the number of daemons known, itself included in each. It is called several times
+// within ValidFor.
+func (lim *Limiter) See(alive, agreeing []string, known int, now time.Time) {
 	lim.mu.Lock()
 	defer lim.mu.Unlock()
 	// While this daemon was paused, another one may have owned its groups.
@@ -67,7 +68,7 @@
 		clear(lim.groups)
 		clear(lim.view.since)
 	}
-	lim.view.see(lim.self, alive, known, lim.cfg.wait(max(known, lim.view.known)), now)
+	lim.view.see(lim.self, alive, agreeing, known, lim.cfg.wait(max(known, lim.view.known)), now)
 }
 
 // Roll returns the daemons by which the parts of a limit are reckoned while the view is incomplete.
@@ -156,8 +157,9 @@
 }
 
 // see counts a daemon as seen only once it has been in view for settle. Until then it may use grants of
-// another owner, and it has not told this one what it has in progress.
-func (viw *view) see(self string, alive []string, known int, settle time.Duration, now time.Time) {
+// another owner, and it has not told this one what it has in progress. It does not count while its own
+// view differs: it may then follow another owner that counts it too.
+func (viw *view) see(self string, alive, agreeing []string, known int, settle time.Duration, now time.Time) {
 	viw.at = now
 	if len(alive) != len(viw.since) {
 		viw.changed = now
@@ -184,7 +186,7 @@
 	}
 	viw.known = max(known, len(alive), len(viw.roll))
 	viw.seen = 0
-	for _, name := range alive {
+	for _, name := range agreeing {
 		if viw.roll[name] && (name == self || settled[name]) {
 			viw.seen++
 		}
--- a/internal/permit/limiter_test.go
+++ b/internal/permit/limiter_test.go
@@ -45,7 +45,7 @@
 	for end := own.now.Add(dur); own.now.Before(end); {
 		own.now = own.now.Add(step)
 		own.obs.AsOf = own.now
-		own.lim.See([]string{"entry-1", "entry-2"}, 2, own.now)
+		own.lim.See([]string{"entry-1", "entry-2"}, []string{"entry-1", "entry-2"}, 2, own.now)
 		own.lim.Observe(own.obs, own.now)
 	}
 }
@@ -186,7 +186,7 @@
 	own.now = own.now.Add(step)
 	for range 60 {
 		own.obs.AsOf = own.now.Add(-2 * step)
-		own.lim.See([]string{"entry-1", "entry-2"}, 2, own.now)
+		own.lim.See([]string{"entry-1", "entry-2"}, []string{"entry-1", "entry-2"}, 2, own.now)
 		own.lim.Observe(own.obs, own.now)
 		own.ask("entry-1", 1, permit.Ask{Cold: true, Demand: wants("a", 1, 0, 2)})
 		own.now = own.now.Add(step)
--- a/internal/permit/limits_test.go
+++ b/internal/permit/limits_test.go
@@ -60,6 +60,8 @@
 	lim         *permit.Limiter
 	que         *queue.Queue
 	heard       map[string]time.Time
+	// views holds the daemons alive as other daemons said with their last ping.
+	views map[string]peerView
 	// aliveFor is the time after which this daemon takes a silent one for dead.
 	aliveFor time.Duration
 	sight    permit.Observation
@@ -73,12 +75,22 @@
 	delay time.Duration
 }
 
+type peerView struct {
+	alive []string
+	at    time.Time
+}
+
+// agreeFor is the time for which a view counts after it was heard.
+const agreeFor = 1500 * time.Millisecond
+
 // zone is a set of daemons in front of one server, moved on in steps.
 type zone struct {
-	now      time.Time
-	srv      *server
-	daemons  []*daemon
-	side     map[string]int
+	now     time.Time
+	srv     *server
+	daemons []*daemon
+	side    map[string]int
+	// cut holds pairs of daemons that cannot reach each other, in both orders.
+	cut      map[[2]string]bool
 	coldMax  int
 	warmMax  int
 	names    int
@@ -98,6 +110,7 @@
 		now:     start,
 		srv:     &server{incarnation: 1, cold: true},
 		side:    map[string]int{},
+		cut:     map[[2]string]bool{},
 		coldMax: coldLimit,
 		warmMax: 3 * coldLimit,
 	}
@@ -124,6 +137,7 @@
 		lim:      permit.New(name, limits),
 		que:      queue.New(queue.Config{MaxWaiting: 8, Spare: 2, SpareFor: time.Second, Objective: time.Second}),
 		heard:    map[string]time.Time{},
+		views:    map[string]peerView{},
 		tickets:  map[*queue.Ticket]time.Time{},
 	}
 	// A daemon starts with the platform's list of entry VMs, which its allocations come from as well.
@@ -141,7 +155,7 @@
 }
 
 func (zon *zone) linked(fst, snd *daemon) bool {
-	return zon.up(fst) && zon.up(snd) && zon.side[fst.name] == zon.side[snd.name]
+	return zon.up(fst) && zon.up(snd) && zon.side[fst.name] == zon.side[snd.name] && !zon.cut[[2]string{fst.name, snd.name}]
 }
 
 func (zon *zone) alive(dmn *daemon) []string {
@@ -200,6 +214,23 @@
 	}
 	fst.heard[snd.name] = zon.now
 	snd.heard[fst.name] = zon.now
+	fst.views[snd.name] = peerView{
+		alive: zon.alive(snd),
+		at:    zon.now,
+	}
+	snd.views[fst.name] = peerView{
+		alive: zon.alive(fst),
+		at:    zon.now,
+	}
+}
+
+// agreeing returns the daemons that lately had the same view as dmn.
+func (zon *zone) agreeing(dmn *daemon) []string {
+	alive := zon.alive(dmn)
+	return slices.DeleteFunc(slices.Clone(alive), func(name string) bool {
+		viw := dmn.views[name]
+		return name != dmn.name && (zon.now.Sub(viw.at) > agreeFor || !slices.Equal(viw.alive, alive))
+	})
 }
 
 func (zon *zone) heardNames(dmn *daemon) []string {
@@ -235,7 +266,7 @@
 		dmn.que.See(sight(dmn))
 	}
 	alive := zon.alive(dmn)
-	dmn.lim.See(alive, len(dmn.heard), zon.now)
+	dmn.lim.See(alive, zon.agreeing(dmn), len(dmn.heard), zon.now)
 	for _, oth := range zon.daemons {
 		if zon.linked(dmn, oth) {
 			dmn.lim.Adopt(oth.lim.Roll())
@@ -387,6 +418,14 @@
 					zon.side[oth.name] = rapid.IntRange(0, 1).Draw(rpt, "side")
 				}
 				zon.event("zone splits: %v", zon.side)
+			case act == 32:
+				oth := zon.daemons[rapid.IntRange(0, len(zon.daemons)-1).Draw(rpt, "other")]
+				zon.cut[[2]string{dmn.name, oth.name}] = true
+				zon.cut[[2]string{oth.name, dmn.name}] = true
+				zon.event("%s and %s are cut apart", dmn.name, oth.name)
+			case act == 33:
+				zon.cut = map[[2]string]bool{}
+				zon.event("cuts heal")
 			case act == 30 && split:
 				split = false
 				zon.side = map[string]int{}
--- a/internal/zone/membership.go
+++ b/internal/zone/membership.go
@@ -46,6 +46,7 @@
 	incarnation uint64
 	leaving     bool
 	members     map[string]member
+	views       map[string]peerView
 	rumors      map[string]*rumor
 	order       []string
 	retried     time.Time
@@ -61,6 +62,7 @@
 		// A daemon that starts again under its name must override what was said of it before.
 		incarnation: uint64(clk.Now().UnixNano()),
 		members:     map[string]member{},
+		views:       map[string]peerView{},
 		rumors:      map[string]*rumor{},
 	}
 	msh.Handle(kindPing, mbs.answerPing)
@@ -245,6 +247,7 @@
 			})
 		case mem.status >= statusLeaving && age > knownFor:
 			delete(mbs.members, name)
+			delete(mbs.views, name)
 		}
 	}
 }
--- a/internal/zone/ping.go
+++ b/internal/zone/ping.go
@@ -29,6 +29,8 @@
 	All []update
 	// Known is the number of members that the sender knows; one who knows fewer gets all of them.
 	Known int
+	// View is a hash of the daemons that the sender counts as alive.
+	View uint64
 }
 
 func (mbs *Membership) newPing() ping {
@@ -38,6 +40,7 @@
 		Own:   mbs.own(),
 		News:  mbs.news(),
 		Known: len(mbs.members),
+		View:  mbs.view(),
 	}
 }
 
@@ -81,6 +84,10 @@
 		}
 	}
 	mbs.learn(png.Own)
+	mbs.views[png.Own.Identity.Name] = peerView{
+		hash: png.View,
+		at:   mbs.clk.Now(),
+	}
 	for _, upd := range png.News {
 		mbs.learn(upd)
 	}
