--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -128,7 +128,7 @@
 	req.GetBody = nil
 	res, err := cli.htc.Do(req)
 	if err != nil {
-		return nil, errors.Annotate(SendError(err), err.Error())
+		return nil, errors.WithType(errors.Trace(err), SendError(err))
 	}
 	if err := statusError(res.StatusCode); err != nil {
 		text, _ := io.ReadAll(io.LimitReader(res.Body, 512))
@@ -139,7 +139,7 @@
 }
 
 // SendError turns an error of net/http into ErrNotSent if no connection was made, else into ErrBroken.
-func SendError(err error) error {
+func SendError(err error) errors.ConstError {
 	var ope *net.OpError
 	if errors.As(err, &ope) && ope.Op == "dial" {
 		return ErrNotSent
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,12 +18,16 @@
 // reportTimeout is the time in which every member must answer for the loss of a stream not to count as a crash.
 const reportTimeout = 300 * time.Millisecond
 
+// heardTimeout is the time in which a report of another daemon must come: a substitute begins to probe when
+// a report is 1 s old, and its probe and one pull take up to 0.8 s.
+const heardTimeout = 2500 * time.Millisecond
+
 // holdInterval is the time between two tries to take slots; each try is a call to another daemon.
 const holdInterval = 100 * time.Millisecond
 
 // placeWait is the time for which a copy waits for news of the group that other copies were placed on: the
-// loss of a stream counts as a crash after reportTimeout, and an announcement takes as long at most.
-const placeWait = time.Second
+// loss of a stream counts as a crash after heardTimeout at most, and an announcement takes 300 ms more.
+const placeWait = 3 * time.Second
 
 // errSuspect says that a request may run only under the slots of a suspect.
 const errSuspect = errors.ConstError("dispatch: request is a suspect")
@@ -137,7 +142,7 @@
 }
 
 // checkCrash records and announces a crash unless every member of the group still runs. A member that
-// cannot be asked counts as crashed: a false suspicion costs one exclusive retry, a missed crash a group.
+// neither this daemon nor others can ask counts as crashed: a missed crash would cost a group.
 func (run *run) checkCrash(ctx context.Context, grp group.Group, born map[string]uint64) {
 	dsp := run.dsp
 	if dsp.alive(ctx, grp, born) {
@@ -158,16 +163,12 @@
 	dsp.sea.Announce(ctx, crs)
 }
 
-// alive reports whether each member answers with the incarnation that it had.
+// alive reports whether each member still runs with the incarnation that it had.
 func (dsp *Dispatcher) alive(ctx context.Context, grp group.Group, born map[string]uint64) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
-	defer cancel()
+	ctx = context.WithoutCancel(ctx)
 	results := make(chan bool, len(grp.Members))
 	for _, mem := range grp.Members {
-		go func() {
-			rep, err := dsp.sea.Report(ctx, mem.Address)
-			results <- err == nil && rep.Incarnation == born[mem.VM]
-		}()
+		go func() { results <- dsp.memberAlive(ctx, mem, born[mem.VM]) }()
 	}
 	for range grp.Members {
 		if !<-results {
@@ -176,3 +177,25 @@
 	}
 	return true
 }
+
+// memberAlive asks a member whether it still runs. If this daemon cannot reach it, what others hear of it
+// decides, since a daemon that alone is cut off must not have requests quarantined.
+func (dsp *Dispatcher) memberAlive(ctx context.Context, mem group.Member, born uint64) bool {
+	asked := dsp.clk.Now()
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	rep, err := dsp.sea.Report(ctx, mem.Address)
+	if err == nil {
+		return rep.Incarnation == born
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	for dsp.clk.Since(asked) < heardTimeout {
+		if ent, ok := dsp.tab.Lookup(mem.VM); ok && ent.AsOf.After(asked) {
+			return ent.Report.Incarnation == born
+		}
+		<-dsp.clk.After(pollInterval)
+	}
+	return false
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -322,32 +321,6 @@
 	}
 }
 
-// Ports of the processes lie below the range from which the kernel takes ports of outgoing connections,
-// which would otherwise take one between its choice and its use.
-const (
-	lowestPort  = 10000
-	highestPort = 32000
-)
-
-// freeAddresses returns loopback addresses that nothing listens on now.
-func freeAddresses(ip netip.Addr, num int) ([]string, error) {
-	var adrs []string
-	for range 100 * num {
-		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		lst, err := net.Listen("tcp", fmt.Sprintf("%v:%d", ip, port))
-		if err != nil {
-			continue
-		}
-		// The listeners are closed together, so that the addresses differ.
-		defer lst.Close()
-		adrs = append(adrs, lst.Addr().String())
-		if len(adrs) == num {
-			return adrs, nil
-		}
-	}
-	return nil, errors.New("no free ports")
-}
-
 func send(ctx context.Context, method, url string, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
