Pass load figures on with the evidence of cold engines

A report that differs only in load was confirmed to other daemons with a new age and the old load. The owner of a group's limit frees the slots of lost daemons by the load that a young report shows, so an old figure of 0 freed slots in use. The load of a cold engine is now passed on with each change, that of a warm one when it changes by more than two requests or a quarter. TestFeed failed before ('is said to run 0 requests, but runs 4') and passes now.

--- a/internal/probe/feed.go
+++ b/internal/probe/feed.go
@@ -16,6 +16,10 @@
 	goneFor = time.Minute
 	// stepTolerance is the change of a step time that counts as one: a straggler is several times slower.
 	stepTolerance = 4
+	// loadTolerance and loadShare bound the change of a warm engine's load that is not passed on: two
+	// requests, or a quarter.
+	loadTolerance = 2
+	loadShare     = 4
 )
 
 // feed holds reports for other daemons. In a steady zone a daemon that asks again gets one age for all
@@ -93,11 +97,11 @@
 		old.entry = ent
 		return
 	}
-	// The load figures lag anyway and are not passed on; the report stays the one that was sent.
+	// The report stays the one that was sent; small changes of load are left out.
 	old.entry.AsOf = ent.AsOf
 }
 
-// changed reports whether two reports differ in more than load.
+// changed reports whether two reports differ so much that the next one is passed on.
 func changed(old, next backend.Report) bool {
 	if old.Incarnation != next.Incarnation || old.Group != next.Group || old.Fencing != next.Fencing ||
 		old.Rank != next.Rank || old.State != next.State || old.ColdLimit != next.ColdLimit ||
@@ -109,8 +113,20 @@
 			return true
 		}
 	}
-	difference := (next.StepTime - old.StepTime).Abs()
-	return difference > old.StepTime/stepTolerance
+	if (next.StepTime - old.StepTime).Abs() > old.StepTime/stepTolerance {
+		return true
+	}
+	return loadChanged(old.Running, next.Running, next.State) || loadChanged(old.Queued, next.Queued, next.State)
+}
+
+// loadChanged reports whether a load figure must be passed on. The owner of a group's limit frees slots of
+// lost daemons by it, so that of a cold engine is always exact; a warm one's may be a little off.
+func loadChanged(old, next int, state backend.State) bool {
+	if state == backend.StateCold {
+		return old != next
+	}
+	difference := max(next-old, old-next)
+	return difference > max(loadTolerance, old/loadShare)
 }
 
 // answer returns what a daemon lacks; reports older than late are listed by name.
--- a/internal/probe/feed_test.go
+++ b/internal/probe/feed_test.go
@@ -31,6 +31,7 @@
 						VM:          fmt.Sprintf("vm-%d", rapid.IntRange(0, 3).Draw(rpt, "vm")),
 						Incarnation: uint64(rapid.IntRange(1, 2).Draw(rpt, "incarnation")),
 						Running:     rapid.IntRange(0, 9).Draw(rpt, "running"),
+						State:       rapid.SampledFrom([]backend.State{backend.StateCold, backend.StateReady}).Draw(rpt, "state"),
 					},
 					AsOf: now.Add(-time.Millisecond),
 				}
@@ -53,6 +54,9 @@
 				if ent.Report.Incarnation != last.Report.Incarnation {
 					rpt.Fatalf("%s is said to have incarnation %d, but has %d", ent.Report.VM, ent.Report.Incarnation, last.Report.Incarnation)
 				}
+				if off := ent.Report.Running - last.Report.Running; last.Report.State == backend.StateCold && off != 0 || off < -2 || off > 2 {
+					rpt.Fatalf("%s is said to run %d requests, but runs %d", ent.Report.VM, ent.Report.Running, last.Report.Running)
+				}
 				known[ent.Report.VM] = ent
 			}
 			for name, last := range latest {
