Ignore asks for slots that arrive after a later one

The daemons agreed on who was alive all through the cut, which rules out a second owner. What a cut holds back arrives when it ends: an old ask ('nothing in progress') on the old connection after a new one on another, and the owner gave slots in use to somebody else. Asks are numbered now and an owner ignores one that is not newer.

--- a/internal/permit/limiter.go
+++ b/internal/permit/limiter.go
@@ -110,8 +110,8 @@
 	delete(lim.groups, group)
 }
 
-// Grant answers a holder's ask; it reports false if nothing is known of the group or the ask is for an
-// earlier allocation of it.
+// Grant answers a holder's ask; it reports false if nothing is known of the group, or if the ask is for an
+// earlier allocation of it or arrives after a later one.
 func (lim *Limiter) Grant(holder string, instance uint64, ask Ask, now time.Time) (Grant, bool) {
 	lim.mu.Lock()
 	sta, ok := lim.groups[ask.Group]
@@ -125,6 +125,14 @@
 	if ask.Fencing != sta.obs.Fencing {
 		return Grant{}, false
 	}
+	key := orphanKey{
+		holder:   holder,
+		instance: instance,
+	}
+	if ask.Sequence <= sta.latest[key] {
+		return Grant{}, false
+	}
+	sta.latest[key] = ask.Sequence
 	return sta.grant(holder, instance, ask, viw, now), true
 }
 
--- a/internal/permit/limiter_test.go
+++ b/internal/permit/limiter_test.go
@@ -11,10 +11,11 @@
 
 // owner is a limiter whose view has settled and that owns a group which bears 2 requests cold, 12 warm.
 type owner struct {
-	t   *testing.T
-	lim *permit.Limiter
-	now time.Time
-	obs permit.Observation
+	asks uint64
+	t    *testing.T
+	lim  *permit.Limiter
+	now  time.Time
+	obs  permit.Observation
 }
 
 func newOwner(t *testing.T, cold bool) *owner {
@@ -57,11 +58,31 @@
 	if ask.Incarnation == 0 {
 		ask.Incarnation = own.obs.Incarnation
 	}
+	own.asks++
+	ask.Sequence = own.asks
 	grt, ok := own.lim.Grant(holder, instance, ask, own.now)
 	qt.Assert(own.t, ok, qt.IsTrue)
 	return grt
 }
 
+// TestLateAsk guards against an ask that arrives after a later one of the same holder, as when a cut ends,
+// and by that gives back slots that are in use.
+func TestLateAsk(t *testing.T) {
+	own := newOwner(t, true)
+	late := permit.Ask{
+		Group:       theGroup,
+		Fencing:     1,
+		Incarnation: own.obs.Incarnation,
+		Sequence:    1,
+	}
+	own.asks = 1
+	qt.Assert(t, own.ask("entry-1", 1, permit.Ask{Demand: wants("a", 1, 0, 2)}).Slots, qt.Equals, 2)
+	own.ask("entry-1", 1, permit.Ask{Running: 2, Hold: 2})
+	_, ok := own.lim.Grant("entry-1", 1, late, own.now)
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, own.ask("entry-2", 2, permit.Ask{Demand: wants("a", 1, 0, 2)}).Slots, qt.Equals, 0)
+}
+
 func wants(workspace string, share, priority, count int) []permit.Demand {
 	return []permit.Demand{{Workspace: workspace, Share: share, Priority: priority, Count: count, Within: time.Second}}
 }
--- a/internal/permit/queue/queue.go
+++ b/internal/permit/queue/queue.go
@@ -74,6 +74,7 @@
 	turns    map[string]float64
 	lastUsed time.Time
 	pace     pace
+	asks     uint64
 	finished int
 	tokens   int
 	late     int
@@ -219,9 +220,11 @@
 	que.lease.asking = true
 	que.lease.own = que.sent
 	que.lease.waiting = len(que.waiting)
+	que.asks++
 	ask := permit.Ask{
 		Group:       group,
 		Fencing:     que.sight.Fencing,
+		Sequence:    que.asks,
 		Incarnation: que.sight.Incarnation,
 		Cold:        que.sight.Cold,
 		Age:         now.Sub(que.sight.AsOf),
--- a/internal/permit/state.go
+++ b/internal/permit/state.go
@@ -17,7 +17,9 @@
 	noNewBefore time.Time
 	holders     map[string]*holding
 	orphans     map[orphanKey]*orphan
-	growth      growth
+	// latest holds the sequence number of the last ask of each holder's process.
+	latest map[orphanKey]uint64
+	growth growth
 	// turns counts slots given to a workspace, divided by its share.
 	turns map[string]float64
 }
@@ -56,6 +58,7 @@
 		retired:     map[uint64]bool{},
 		holders:     map[string]*holding{},
 		orphans:     map[orphanKey]*orphan{},
+		latest:      map[orphanKey]uint64{},
 		turns:       map[string]float64{},
 	}
 	sta.growth.reset(obs.ColdLimit, now)
