Notice a peer connection that no longer carries bytes

A call without a deadline of its own, such as a forwarded stream, waited for ever on a connection that a partition had silently cut. A peer that owes a reply and has sent no frame for 2 s must now answer a WebSocket ping within 2 s.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -5,6 +5,7 @@
 	"crypto/hmac"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
@@ -23,7 +24,9 @@
 	ready chan struct{}
 	done  chan struct{}
 
-	nextID  atomic.Uint64
+	nextID atomic.Uint64
+	// heard is when the last frame came, in nanoseconds since the Unix epoch.
+	heard   atomic.Int64
 	closing sync.Once
 
 	mu      sync.Mutex
@@ -128,6 +131,7 @@
 	if err != nil {
 		return errors.Annotate(ErrBroken, err.Error())
 	}
+	lnk.heard.Store(time.Now().UnixNano())
 	lnk.msh.received.Inc(int64(len(data)))
 	return Decode(data, val)
 }
@@ -165,8 +169,12 @@
 	if err := lnk.write(ctx, frm); err != nil {
 		return errors.Trace(err)
 	}
+	watch := time.NewTicker(silentAfter)
+	defer watch.Stop()
 	for {
 		select {
+		case <-watch.C:
+			lnk.checkSilence()
 		case frm, ok := <-rep:
 			if !ok {
 				return errors.Trace(ErrOverflow)
@@ -193,6 +201,22 @@
 	}
 }
 
+// silentAfter is the time without a frame after which a peer that owes a reply must answer a WebSocket
+// ping. Without it a call on a connection that a partition silently cut would wait for its own deadline.
+const silentAfter = 2 * time.Second
+
+// checkSilence closes the link if the peer has been silent and does not answer.
+func (lnk *link) checkSilence() {
+	if time.Since(time.Unix(0, lnk.heard.Load())) < silentAfter {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), silentAfter)
+	defer cancel()
+	if err := lnk.con.Ping(ctx); err != nil {
+		lnk.close(errors.Annotate(ErrBroken, err.Error()))
+	}
+}
+
 // kindCancel ends the call with the frame's ID at the peer.
 const kindCancel = "Cancel"
 
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,3 +97,66 @@
 	err := cli.Call(ctx, adr, "Echo", echo{Text: "hello"}, nil)
 	c.Assert(errors.Is(err, peer.ErrUnreachable), qt.IsTrue, qt.Commentf("%v", err))
 }
+
+// TestSilentPeer guards against a call that waits for a reply on a connection that no longer carries bytes.
+func TestSilentPeer(t *testing.T) {
+	c := qt.New(t)
+	msh, real := newServer(t, "key")
+	release := make(chan struct{})
+	defer close(release)
+	msh.Handle("Wait", func(context.Context, peer.Identity, []byte) (any, error) {
+		<-release
+		return nil, nil
+	})
+	adr, cut := newRelay(t, real)
+	cli := newMesh(t, "client", "key")
+	defer cli.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	c.Assert(cli.Call(ctx, adr, "Echo", echo{Text: "hello"}, nil), qt.IsNil)
+	time.AfterFunc(100*time.Millisecond, cut)
+	begin := time.Now()
+	err := cli.Call(ctx, adr, "Wait", nil, nil)
+	c.Assert(errors.Is(err, peer.ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(time.Since(begin) < 10*time.Second, qt.IsTrue)
+}
+
+// newRelay returns an address that passes bytes on to adr until cut is called, and holds them after that.
+func newRelay(t *testing.T, adr string) (relay string, cut func()) {
+	t.Helper()
+	lst, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { lst.Close() })
+	var stopped atomic.Bool
+	pass := func(dst, src net.Conn) {
+		buf := make([]byte, 4096)
+		for {
+			num, err := src.Read(buf)
+			if err != nil {
+				return
+			}
+			if !stopped.Load() {
+				_, _ = dst.Write(buf[:num])
+			}
+		}
+	}
+	go func() {
+		for {
+			con, err := lst.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", adr)
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() {
+				con.Close()
+				out.Close()
+			})
+			go pass(out, con)
+			go pass(con, out)
+		}
+	}()
+	return lst.Addr().String(), func() { stopped.Store(true) }
+}
