Remove a callback that nothing sets

evidence.Table.OnRestart was never set: the limits follow incarnations by themselves. The test checks the same restarts by what Record returns.

--- a/internal/evidence/table.go
+++ b/internal/evidence/table.go
@@ -23,10 +23,6 @@
 
 // Table holds the latest report of each VM.
 type Table struct {
-	// OnRestart is called with each report of a new incarnation of an engine, outside of all locks. It is
-	// set before the first Record.
-	OnRestart func(ent Entry)
-
 	maxAge time.Duration
 	shards [shardCount]shard
 }
@@ -49,14 +45,6 @@
 
 // Record keeps ent unless a younger report of the VM is known; it reports whether the engine restarted.
 func (tab *Table) Record(ent Entry) (restarted bool) {
-	restarted = tab.keep(ent)
-	if restarted && tab.OnRestart != nil {
-		tab.OnRestart(ent)
-	}
-	return restarted
-}
-
-func (tab *Table) keep(ent Entry) (restarted bool) {
 	shd := tab.shard(ent.Report.VM)
 	shd.mu.Lock()
 	defer shd.mu.Unlock()
--- a/internal/evidence/table_test.go
+++ b/internal/evidence/table_test.go
@@ -149,19 +149,21 @@
 	}
 }
 
-// TestOnRestart guards against a restart that the limits do not hear of, also when the VM was forgotten
-// in between, and against one that is told twice.
-func TestOnRestart(tst *testing.T) {
+// TestRestart guards against a restart that goes unseen, also when the VM was forgotten in between, and
+// against one that is told twice.
+func TestRestart(tst *testing.T) {
 	tab := New(maxAge)
 	var told []uint64
-	tab.OnRestart = func(ent Entry) { told = append(told, ent.Report.Incarnation) }
 	for idx, inc := range []uint64{1, 1, 2, 2, 3} {
 		rep := report("vm-0", 0)
 		rep.Incarnation = inc
-		tab.Record(Entry{
+		restarted := tab.Record(Entry{
 			Report: rep,
 			AsOf:   start.Add(time.Duration(idx) * time.Second),
 		})
+		if restarted {
+			told = append(told, inc)
+		}
 		tab.Forget("vm-0")
 	}
 	qt.Assert(tst, told, qt.DeepEquals, []uint64{2, 3})
