--- a/internal/standin/verb/capacity.go
+++ b/internal/standin/verb/capacity.go
@@ -14,8 +14,8 @@
 
 const capacityUsage = "measure what control costs a daemon at several sizes of a zone"
 
-// capacitySizes are the sizes that are measured; both dimensions vary on their own, so that a plane can
-// be fitted.
+// capacitySizes are the sizes that are measured; both dimensions vary on their own, so that a
+// function of both can be fitted.
 var capacitySizes = []capacity.Size{
 	{
 		Daemons: 2,
@@ -59,7 +59,7 @@
 	},
 }
 
-// capacityValues are the values that a plane is fitted through.
+// capacityValues are the values that a function is fitted to.
 var capacityValues = []struct {
 	name  string
 	value func(capacity.Point) float64
@@ -142,7 +142,8 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		fmt.Fprintf(out, "%-18s = %.4g + %.4g x daemons + %.4g x VMs", val.name, fit.Base, fit.PerDaemon, fit.PerVM)
+		fmt.Fprintf(out, "%-18s = %.4g + %.4g x daemons + %.4g x VMs + %.4g x VMs a daemon",
+			val.name, fit.Base, fit.PerDaemon, fit.PerVM, fit.PerProbe)
 		for _, siz := range targetSizes {
 			fmt.Fprintf(out, "; %d daemons, %d VMs: %.4g", siz.Daemons, siz.VMs, fit.At(siz))
 		}
