--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -53,7 +53,7 @@
 	cmd.SysProcAttr = &syscall.SysProcAttr{
 		Pdeathsig: syscall.SIGKILL,
 	}
-	if err := cmd.Start(); err != nil {
+	if err := processes.start(cmd); err != nil {
 		return errors.Trace(err)
 	}
 	done := make(chan struct{})
--- a/test/bookings/disturber_test.go
+++ b/test/bookings/disturber_test.go
@@ -142,6 +142,7 @@
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ent.Address+"/readyz", nil)
 		qt.Assert(t, err, qt.IsNil)
 		res, err := http.DefaultClient.Do(req)
+		qt.Assert(t, ent.Wait(0), qt.IsFalse, qt.Commentf("%s has ended by itself", ent.Name))
 		if err == nil {
 			res.Body.Close()
 			if res.StatusCode == http.StatusNoContent {
