--- a/internal/standin/fleet/build.go
+++ b/internal/standin/fleet/build.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -28,8 +29,18 @@
 	return dir, nil
 })
 
-// Build builds the programs once in a process and returns their folder, which the caller removes at the
-// end of the process.
+// Build builds the programs once in a process and returns their folder, which RunTests removes.
 func Build() (string, error) {
 	return build()
 }
+
+// RunTests builds the programs, runs the tests of a package and returns the status to exit with.
+func RunTests(run func() int) int {
+	bin, err := Build()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(bin)
+	return run()
+}
--- a/internal/standin/verb/capacity.go
+++ b/internal/standin/verb/capacity.go
@@ -94,12 +94,7 @@
 		Name:  "capacity",
 		Usage: capacityUsage,
 		Flags: []cli.Flag{
-			&cli.StringFlag{
-				Name:        "binaries",
-				Usage:       "folder of the programs",
-				Value:       "bin",
-				Destination: &opt.binaries,
-			},
+			binariesFlag(&opt.binaries),
 			&cli.DurationFlag{
 				Name:        "settle",
 				Usage:       "time before each measurement",
--- a/internal/standin/verb/policy.go
+++ b/internal/standin/verb/policy.go
@@ -25,12 +25,7 @@
 		Name:  "bench-policy",
 		Usage: policyUsage,
 		Flags: []cli.Flag{
-			&cli.StringFlag{
-				Name:        "binaries",
-				Usage:       "folder of the programs",
-				Value:       "bin",
-				Destination: &opt.cfg.Binaries,
-			},
+			binariesFlag(&opt.cfg.Binaries),
 			&cli.StringFlag{
 				Name:        "logs",
 				Usage:       "existing folder in which the settings and logs of each run are kept",
--- a/internal/standin/verb/relay.go
+++ b/internal/standin/verb/relay.go
@@ -50,12 +50,7 @@
 		Name:  "bench-relay",
 		Usage: relayUsage,
 		Flags: []cli.Flag{
-			&cli.StringFlag{
-				Name:        "binaries",
-				Usage:       "folder of the programs",
-				Value:       "bin",
-				Destination: &opt.binaries,
-			},
+			binariesFlag(&opt.binaries),
 			&cli.IntFlag{
 				Name:        "streams",
 				Usage:       "streams open at once",
--- a/internal/standin/verb/run.go
+++ b/internal/standin/verb/run.go
@@ -35,12 +35,7 @@
 		Name:  "run",
 		Usage: runUsage,
 		Flags: []cli.Flag{
-			&cli.StringFlag{
-				Name:        "binaries",
-				Usage:       "folder of the programs",
-				Value:       "bin",
-				Destination: &opt.binaries,
-			},
+			binariesFlag(&opt.binaries),
 			&cli.StringFlag{
 				Name:        "document",
 				Usage:       "document to promote",
--- a/internal/standin/verb/table.go
+++ b/internal/standin/verb/table.go
@@ -67,3 +67,12 @@
 		Destination: dst,
 	}
 }
+
+func binariesFlag(dst *string) cli.Flag {
+	return &cli.StringFlag{
+		Name:        "binaries",
+		Usage:       "folder of the programs",
+		Value:       "bin",
+		Destination: dst,
+	}
+}
--- a/test/config/config_test.go
+++ b/test/config/config_test.go
@@ -31,14 +31,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	bin, err := fleet.Build()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(bin)
-	os.Exit(code)
+	os.Exit(fleet.RunTests(m.Run))
 }
 
 func start(t *testing.T) (context.Context, *fleet.Fleet) {
--- a/test/groups/groups_test.go
+++ b/test/groups/groups_test.go
@@ -30,14 +30,7 @@
 
 func TestMain(run *testing.M) {
 	flag.Parse()
-	bin, err := fleet.Build()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := run.Run()
-	os.RemoveAll(bin)
-	os.Exit(code)
+	os.Exit(fleet.RunTests(run.Run))
 }
 
 // TestMemberKilledWithSpare guards against a group that stays broken beside a spare VM, for engines that
--- a/test/limits/limits_test.go
+++ b/test/limits/limits_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"os"
 	"syscall"
@@ -32,14 +31,7 @@
 `
 
 func TestMain(m *testing.M) {
-	bin, err := fleet.Build()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(bin)
-	os.Exit(code)
+	os.Exit(fleet.RunTests(m.Run))
 }
 
 func start(t *testing.T) (context.Context, *fleet.Fleet) {
