--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 spec:
 	spec/check.sh
 
-FUZZERS := ./internal/platform:FuzzAnswers ./internal/backend:FuzzReport ./internal/backend:FuzzFrames \
+FUZZERS := ./internal/objects:FuzzAnswers ./internal/backend:FuzzReport ./internal/backend:FuzzFrames \
 	./internal/peer:FuzzHandshake ./internal/settings:FuzzSettings ./internal/stream:FuzzToken \
 	./internal/stream:FuzzEventID ./pkg/document:FuzzParse
 
--- a/internal/booking/faults_test.go
+++ b/internal/booking/faults_test.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	standin "github.com/cumintally/cumintally/internal/standin/platform"
 )
 
@@ -50,7 +50,7 @@
 
 // faultyStore is the platform with faults that each strike one call.
 type faultyStore struct {
-	inner platform.Store
+	inner objects.Store
 
 	mu      sync.Mutex
 	puts    []putFault
@@ -59,7 +59,7 @@
 	writes  int
 }
 
-func newFaultyStore() (*faultyStore, platform.Store) {
+func newFaultyStore() (*faultyStore, objects.Store) {
 	fst := &faultyStore{inner: standin.NewStore().Platform()}
 	pst := fst.inner
 	pst.Get = fst.get
@@ -67,9 +67,9 @@
 	return fst, pst
 }
 
-func (fst *faultyStore) get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (fst *faultyStore) get(ctx context.Context, kind, name string) (objects.Object, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	fst.mu.Lock()
 	out := fst.getsOut > 0
@@ -78,7 +78,7 @@
 	}
 	fst.mu.Unlock()
 	if out {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	return fst.inner.Get(ctx, kind, name)
 }
@@ -94,20 +94,20 @@
 	switch flt {
 	case putRefused:
 		fst.mu.Unlock()
-		return 0, platform.ErrUnavailable
+		return 0, objects.ErrUnavailable
 	case putNever:
 		fst.mu.Unlock()
-		return 0, platform.ErrUnknownOutcome
+		return 0, objects.ErrUnknownOutcome
 	case putLate:
 		fst.late = append(fst.late, func() { _, _ = fst.inner.Put(ctx, kind, name, expected, value) })
 		fst.mu.Unlock()
-		return 0, platform.ErrUnknownOutcome
+		return 0, objects.ErrUnknownOutcome
 	default:
 	}
 	fst.mu.Unlock()
 	ver, err := fst.inner.Put(ctx, kind, name, expected, value)
 	if flt == putLost {
-		return 0, platform.ErrUnknownOutcome
+		return 0, objects.ErrUnknownOutcome
 	}
 	return ver, err
 }
@@ -139,7 +139,7 @@
 // daemons are ledgers that call each other in one process; ownership may name any of them, or none.
 type daemons struct {
 	cfg   Config
-	pst   platform.Store
+	pst   objects.Store
 	clk   clockwork.Clock
 	owner atomic.Int64
 	// loseReplies makes the next so many peer calls lose their replies.
@@ -148,7 +148,7 @@
 	ledgers     []*Ledger
 }
 
-func newDaemons(num int, cfg Config, pst platform.Store, clk clockwork.Clock) *daemons {
+func newDaemons(num int, cfg Config, pst objects.Store, clk clockwork.Clock) *daemons {
 	dms := &daemons{
 		cfg:     cfg,
 		pst:     pst,
--- a/internal/booking/lane.go
+++ b/internal/booking/lane.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 const (
@@ -151,7 +151,7 @@
 		case err == nil:
 			answer(batch, rpls)
 			return
-		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnknownOutcome):
+		case errors.Is(err, objects.ErrConflict), errors.Is(err, objects.ErrUnknownOutcome):
 			// Reading the bucket again shows by the tokens which operations took effect.
 			lan.content = nil
 			lan.pace()
@@ -161,7 +161,7 @@
 			return
 		}
 	}
-	lan.fail(batch, platform.ErrUnknownOutcome)
+	lan.fail(batch, objects.ErrUnknownOutcome)
 }
 
 func (lan *lane) apply(batch []*pending) (*bucket, []reply, bool) {
@@ -180,8 +180,8 @@
 
 func (lan *lane) read(ctx context.Context) error {
 	lan.led.met.reads.Inc(1)
-	obj, err := lan.led.pst.Get(ctx, platform.KindBucket, lan.name)
-	if errors.Is(err, platform.ErrNotFound) {
+	obj, err := lan.led.pst.Get(ctx, objects.KindBucket, lan.name)
+	if errors.Is(err, objects.ErrNotFound) {
 		lan.content = newBucket()
 		lan.version = 0
 		return nil
@@ -192,7 +192,7 @@
 	bkt, err := decodeBucket(obj.Value)
 	if err != nil {
 		lan.led.log.Error("cannot read a bucket", zap.String("bucket", lan.name), zap.Error(err))
-		return errors.Annotate(platform.ErrUnavailable, err.Error())
+		return errors.Annotate(objects.ErrUnavailable, err.Error())
 	}
 	lan.observe(obj.Version != lan.version)
 	lan.content = bkt
@@ -203,15 +203,15 @@
 func (lan *lane) put(ctx context.Context, next *bucket, batch []*pending) error {
 	val, err := next.encode()
 	if err != nil {
-		return errors.Annotate(platform.ErrUnavailable, err.Error())
+		return errors.Annotate(objects.ErrUnavailable, err.Error())
 	}
 	for _, pnd := range batch {
 		pnd.tried = true
 	}
 	lan.spend()
 	lan.led.met.writes.Inc(1)
-	ver, err := lan.led.pst.Put(ctx, platform.KindBucket, lan.name, lan.version, val)
-	if errors.Is(err, platform.ErrConflict) {
+	ver, err := lan.led.pst.Put(ctx, objects.KindBucket, lan.name, lan.version, val)
+	if errors.Is(err, objects.ErrConflict) {
 		lan.observe(true)
 		lan.led.met.conflicts.Inc(1)
 	}
--- a/internal/booking/layout.go
+++ b/internal/booking/layout.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 // layoutName is the name of the object that fixes the number of buckets.
@@ -23,10 +23,10 @@
 		return int(num), nil
 	}
 	num, err := led.readLayout(ctx)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		val, _ := json.Marshal(layout{Buckets: led.cfg.Buckets}) // A struct of one number always encodes.
 		// Whatever became of this write, reading the object back tells which number is in force.
-		_, _ = led.pst.Put(ctx, platform.KindBucket, layoutName, 0, val)
+		_, _ = led.pst.Put(ctx, objects.KindBucket, layoutName, 0, val)
 		num, err = led.readLayout(ctx)
 	}
 	if err != nil {
@@ -43,7 +43,7 @@
 }
 
 func (led *Ledger) readLayout(ctx context.Context) (int, error) {
-	obj, err := led.pst.Get(ctx, platform.KindBucket, layoutName)
+	obj, err := led.pst.Get(ctx, objects.KindBucket, layoutName)
 	if err != nil {
 		return 0, errors.Trace(err)
 	}
--- a/internal/booking/ledger.go
+++ b/internal/booking/ledger.go
@@ -17,7 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 const (
@@ -69,7 +69,7 @@
 // Ledger reserves idempotency keys and keeps the results of their calls.
 type Ledger struct {
 	cfg Config
-	pst platform.Store
+	pst objects.Store
 	prs Peers
 	clk clockwork.Clock
 	log *zap.Logger
@@ -91,7 +91,7 @@
 }
 
 // New returns a ledger that keeps its buckets in pst.
-func New(cfg Config, pst platform.Store, prs Peers, clk clockwork.Clock, reg metrics.Registry, log *zap.Logger) *Ledger {
+func New(cfg Config, pst objects.Store, prs Peers, clk clockwork.Clock, reg metrics.Registry, log *zap.Logger) *Ledger {
 	return &Ledger{
 		cfg: cfg,
 		pst: pst,
@@ -264,7 +264,7 @@
 // submit hands an operation to the bucket's owner; if that does not answer this daemon writes the bucket itself.
 func (led *Ledger) submit(ctx context.Context, opn operation) reply {
 	led.met.operations.Inc(1)
-	own := led.prs.Owner(platform.KindBucket + "/" + strconv.Itoa(opn.Bucket))
+	own := led.prs.Owner(objects.KindBucket + "/" + strconv.Itoa(opn.Bucket))
 	if own.Name == "" || own.Name == led.prs.Self {
 		return led.lane(opn.Bucket).do(ctx, opn)
 	}
--- a/internal/booking/ledger_test.go
+++ b/internal/booking/ledger_test.go
@@ -13,7 +13,7 @@
 	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 // TestConcurrentReserve guards against two daemons that both reserve one key while writes are lost and
@@ -84,7 +84,7 @@
 			return put(ctx, kind, name, expected, value)
 		}
 		<-ctx.Done()
-		return 0, platform.ErrUnknownOutcome
+		return 0, objects.ErrUnknownOutcome
 	}
 	cfg := testConfig(1, 0)
 	cfg.ReserveTimeout = 100 * time.Millisecond
@@ -231,12 +231,12 @@
 	c.Assert(err, qt.IsNil, qt.Commentf("the token must be read back"))
 
 	get := pst.Get
-	pst.Get = func(ctx context.Context, kind, name string) (platform.Object, error) {
+	pst.Get = func(ctx context.Context, kind, name string) (objects.Object, error) {
 		fst.mu.Lock()
 		lost := fst.writes > 2
 		fst.mu.Unlock()
 		if lost && name != layoutName {
-			return platform.Object{}, platform.ErrUnavailable
+			return objects.Object{}, objects.ErrUnavailable
 		}
 		return get(ctx, kind, name)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,7 +16,7 @@
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/lease"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/pkg/document"
 )
 
@@ -56,7 +56,7 @@
 	les *lease.Lease
 	inv *inventory.Inventory
 	tab *evidence.Table
-	pst platform.Store
+	pst objects.Store
 	clk clockwork.Clock
 	log *zap.Logger
 	obs *observer
@@ -75,7 +75,7 @@
 	les *lease.Lease,
 	inv *inventory.Inventory,
 	tab *evidence.Table,
-	pst platform.Store,
+	pst objects.Store,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *Controller {
@@ -183,7 +183,7 @@
 
 // begin reads the allocations that the holders before wrote, which the watch may not have brought yet.
 func (ctr *Controller) begin(ctx context.Context) bool {
-	objs, _, err := ctr.pst.List(ctx, platform.KindAllocation)
+	objs, _, err := ctr.pst.List(ctx, objects.KindAllocation)
 	if err != nil {
 		ctr.log.Debug("cannot read the allocations", zap.Error(err))
 		return false
@@ -280,15 +280,15 @@
 	if !ctr.les.Held() {
 		return errors.New("the lease ended")
 	}
-	ver, err := ctr.pst.Put(ctx, platform.KindAllocation, alc.FabricDomain, alc.Version, val)
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	ver, err := ctr.pst.Put(ctx, objects.KindAllocation, alc.FabricDomain, alc.Version, val)
+	if errors.Is(err, objects.ErrUnknownOutcome) {
 		return ctr.readBack(ctx, alc)
 	}
 	if err != nil {
 		return errors.Trace(err)
 	}
-	ctr.inv.TakeAllocation(ctx, platform.Object{
-		Kind:    platform.KindAllocation,
+	ctr.inv.TakeAllocation(ctx, objects.Object{
+		Kind:    objects.KindAllocation,
 		Name:    alc.FabricDomain,
 		Version: ver,
 		Value:   val,
@@ -298,7 +298,7 @@
 
 // readBack learns whether a write whose answer was lost took effect.
 func (ctr *Controller) readBack(ctx context.Context, alc group.Allocation) error {
-	obj, err := ctr.pst.Get(ctx, platform.KindAllocation, alc.FabricDomain)
+	obj, err := ctr.pst.Get(ctx, objects.KindAllocation, alc.FabricDomain)
 	if err != nil {
 		return errors.Annotate(err, "read back a write of unknown outcome")
 	}
@@ -309,7 +309,7 @@
 	}
 	if got.Writer != alc.Writer {
 		// The write may still arrive; it then changes the version, and a plan made before it conflicts.
-		return errors.Annotate(platform.ErrConflict, "the write did not take effect")
+		return errors.Annotate(objects.ErrConflict, "the write did not take effect")
 	}
 	return nil
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -18,7 +18,7 @@
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/lease"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	standin "github.com/cumintally/cumintally/internal/standin/platform"
 	"github.com/cumintally/cumintally/pkg/document"
 )
@@ -33,7 +33,7 @@
 
 // machine is a VM with an engine that checks fencing numbers.
 type machine struct {
-	vm     platform.VM
+	vm     objects.VM
 	report backend.Report
 	silent bool
 	// ended says that the VM is there and its engine is not.
@@ -44,7 +44,7 @@
 type bench struct {
 	tst *testing.T
 	clk *clockwork.FakeClock
-	pst platform.Store
+	pst objects.Store
 	doc *document.Document
 
 	mu       sync.Mutex
@@ -60,7 +60,7 @@
 	ctr    *Controller
 	inv    *inventory.Inventory
 	tab    *evidence.Table
-	pst    platform.Store
+	pst    objects.Store
 	alive  int
 	listed int
 }
@@ -91,8 +91,8 @@
 			},
 		},
 	}
-	bch.pst.VMs = func(context.Context) ([]platform.VM, error) {
-		var all []platform.VM
+	bch.pst.VMs = func(context.Context) ([]objects.VM, error) {
+		var all []objects.VM
 		for _, mac := range bch.machines {
 			if mac.vm.State != "" {
 				all = append(all, mac.vm)
@@ -103,13 +103,13 @@
 	for idx := range vms {
 		name := fmt.Sprintf("vm-%d", idx)
 		bch.machines[name] = &machine{
-			vm: platform.VM{
+			vm: objects.VM{
 				Name:             name,
 				AvailabilityZone: "zone",
 				FabricDomain:     "fabric",
-				Role:             platform.RoleEngine,
+				Role:             objects.RoleEngine,
 				Address:          name,
-				State:            platform.VMLive,
+				State:            objects.VMLive,
 			},
 			report: backend.Report{
 				VM:          name,
@@ -128,11 +128,11 @@
 		alive:  3,
 		listed: 3,
 	}
-	pst := platform.Store{
-		Get: func(ctx context.Context, kind, name string) (platform.Object, error) {
+	pst := objects.Store{
+		Get: func(ctx context.Context, kind, name string) (objects.Object, error) {
 			return nod.pst.Get(ctx, kind, name)
 		},
-		List: func(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+		List: func(ctx context.Context, kind string) ([]objects.Object, uint64, error) {
 			return nod.pst.List(ctx, kind)
 		},
 		Put: func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
@@ -225,7 +225,7 @@
 		}
 	}
 	bch.mu.Unlock()
-	objs, _, err := bch.pst.List(ctx, platform.KindAllocation)
+	objs, _, err := bch.pst.List(ctx, objects.KindAllocation)
 	qt.Assert(bch.tst, err, qt.IsNil)
 	for _, obj := range objs {
 		nod.inv.TakeAllocation(ctx, obj)
@@ -241,14 +241,14 @@
 		listed[vmc.Name] = true
 		val, err := json.Marshal(vmc)
 		qt.Assert(nod.bch.tst, err, qt.IsNil)
-		nod.inv.TakeVM(ctx, platform.Object{
+		nod.inv.TakeVM(ctx, objects.Object{
 			Name:  vmc.Name,
 			Value: val,
 		})
 	}
 	for _, vmc := range nod.inv.VMs() {
 		if !listed[vmc.Name] {
-			nod.inv.TakeVM(ctx, platform.Object{
+			nod.inv.TakeVM(ctx, objects.Object{
 				Name:    vmc.Name,
 				Deleted: true,
 			})
@@ -293,7 +293,7 @@
 
 func (bch *bench) allocation() group.Allocation {
 	var alc group.Allocation
-	if obj, err := bch.pst.Get(bch.tst.Context(), platform.KindAllocation, "fabric"); err == nil {
+	if obj, err := bch.pst.Get(bch.tst.Context(), objects.KindAllocation, "fabric"); err == nil {
 		qt.Assert(bch.tst, json.Unmarshal(obj.Value, &alc), qt.IsNil)
 	}
 	return alc
@@ -313,14 +313,14 @@
 		nod := bch.node("entry-1")
 		lost := 0
 		nod.pst.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
-			if kind != platform.KindAllocation || lost == 2 {
+			if kind != objects.KindAllocation || lost == 2 {
 				return bch.pst.Put(ctx, kind, name, expected, value)
 			}
 			lost++
 			if effect {
 				_, _ = bch.pst.Put(ctx, kind, name, expected, value)
 			}
-			return 0, platform.ErrUnknownOutcome
+			return 0, objects.ErrUnknownOutcome
 		}
 		nod.turns(3 * time.Second)
 		qt.Assert(tst, nod.serves(), qt.IsTrue)
@@ -341,15 +341,15 @@
 	newer.Counter += 7
 	val, err := json.Marshal(newer)
 	qt.Assert(tst, err, qt.IsNil)
-	ver, err := bch.pst.Put(tst.Context(), platform.KindAllocation, "fabric", alc.Version, val)
+	ver, err := bch.pst.Put(tst.Context(), objects.KindAllocation, "fabric", alc.Version, val)
 	qt.Assert(tst, err, qt.IsNil)
-	nod.inv.TakeAllocation(tst.Context(), platform.Object{
-		Kind:    platform.KindAllocation,
+	nod.inv.TakeAllocation(tst.Context(), objects.Object{
+		Kind:    objects.KindAllocation,
 		Name:    "fabric",
 		Version: ver,
 		Value:   val,
 	})
-	qt.Assert(tst, nod.ctr.write(tst.Context(), alc), qt.ErrorIs, platform.ErrConflict)
+	qt.Assert(tst, nod.ctr.write(tst.Context(), alc), qt.ErrorIs, objects.ErrConflict)
 	qt.Assert(tst, bch.allocation().Counter, qt.Equals, newer.Counter)
 }
 
@@ -490,7 +490,7 @@
 	nod := bch.node("entry-1")
 	nod.turns(6 * time.Second)
 	bch.machines["vm-0"].report.Running = 1
-	bch.machines["vm-1"].vm.State = platform.VMLeaving
+	bch.machines["vm-1"].vm.State = objects.VMLeaving
 	nod.turns(10 * time.Second)
 	qt.Assert(tst, bch.members(), qt.DeepEquals, []string{"vm-0", "vm-1"})
 	qt.Assert(tst, bch.allocation().Groups[0].Draining, qt.IsTrue)
@@ -555,7 +555,7 @@
 			if effect {
 				_, _ = bch.pst.Put(ctx, kind, name, expected, value)
 			}
-			return 0, platform.ErrUnknownOutcome
+			return 0, objects.ErrUnknownOutcome
 		}
 		alc, ver := nod.inv.Allocation("fabric")
 		alc.Counter++
--- a/internal/controller/observer.go
+++ b/internal/controller/observer.go
@@ -9,7 +9,7 @@
 	"github.com/cumintally/cumintally/internal/evidence"
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/inventory"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/pkg/document"
 )
 
@@ -257,7 +257,7 @@
 }
 
 // vms returns the engines of the zone that the platform lists, and the members of groups that it does not.
-func (obs *observer) vms() []platform.VM {
+func (obs *observer) vms() []objects.VM {
 	return obs.inv.Engines(obs.cfg.AvailabilityZone)
 }
 
@@ -298,7 +298,7 @@
 	return false
 }
 
-func (obs *observer) vmView(vmc platform.VM, now time.Time, mayReplace bool) group.VMView {
+func (obs *observer) vmView(vmc objects.VM, now time.Time, mayReplace bool) group.VMView {
 	ent, ok := obs.tab.Lookup(vmc.Name)
 	heard := ent.AsOf
 	if awake := obs.awakeSince(now); heard.Before(awake) {
@@ -306,7 +306,7 @@
 	}
 	silent := now.Sub(heard)
 	since, slow := obs.slow[vmc.Name]
-	leaving := vmc.State == platform.VMLeaving || (ok && ent.Report.State == backend.StateLeaving)
+	leaving := vmc.State == objects.VMLeaving || (ok && ent.Report.State == backend.StateLeaving)
 	// A daemon may still count the VM in its former group until its evidence of that is too old. A VM that
 	// has taken no order since it started need not wait, so that a new zone forms its groups at once.
 	idleSince, idle := obs.idle[vmc.Name]
@@ -315,7 +315,7 @@
 		Name:         vmc.Name,
 		FabricDomain: vmc.FabricDomain,
 		Address:      vmc.Address,
-		Usable:       idle && !leaving && vmc.State == platform.VMLive,
+		Usable:       idle && !leaving && vmc.State == objects.VMLive,
 		Lost:         mayReplace && (silent > lostAfter || obs.refused[vmc.Name] >= endedAfter),
 		Leaving:      leaving,
 		Straggler:    slow && now.Sub(since) > slowFor,
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -13,7 +13,7 @@
 	"github.com/cumintally/cumintally/internal/evidence"
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/lease"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 // roleServe is the role of a member of a group.
@@ -57,7 +57,7 @@
 
 // give sends an order to each VM whose report does not match the allocations, all of which the platform
 // has confirmed.
-func (ord *orders) give(ctx context.Context, alcs []group.Allocation, vms []platform.VM) {
+func (ord *orders) give(ctx context.Context, alcs []group.Allocation, vms []objects.VM) {
 	members := map[string]bool{}
 	counters := map[string]uint64{}
 	for _, alc := range alcs {
@@ -101,7 +101,7 @@
 // clear takes a VM that is in no group out of the group that it reports, so that a daemon with an old
 // copy of the allocation sends it nothing, and so that it can be assigned again. A VM that reports a
 // number above the allocation's counter was given it by a newer allocation than this copy.
-func (ord *orders) clear(ctx context.Context, vmc platform.VM, counter uint64) {
+func (ord *orders) clear(ctx context.Context, vmc objects.VM, counter uint64) {
 	ent, ok := ord.tab.Lookup(vmc.Name)
 	if !ok || ent.Report.Group == "" || ent.Report.Fencing > counter {
 		return
--- a/internal/dispatch/open_test.go
+++ b/internal/dispatch/open_test.go
@@ -18,7 +18,7 @@
 	"github.com/cumintally/cumintally/internal/evidence"
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/inventory"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/refusal"
 )
@@ -85,7 +85,7 @@
 		Groups:           grps,
 	})
 	c.Assert(err, qt.IsNil)
-	rig.inv.TakeAllocation(context.Background(), platform.Object{
+	rig.inv.TakeAllocation(context.Background(), objects.Object{
 		Name:    "fabric-1",
 		Version: version,
 		Value:   val,
--- a/internal/entry/burn.go
+++ b/internal/entry/burn.go
@@ -11,7 +11,7 @@
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/survey"
 	"github.com/cumintally/cumintally/pkg/document"
@@ -130,7 +130,7 @@
 	}
 	smp.countGroups(doc, serving)
 	for _, vmc := range smp.inv.VMs() {
-		if vmc.Role == platform.RoleEngine && vmc.AvailabilityZone == smp.zone {
+		if vmc.Role == objects.RoleEngine && vmc.AvailabilityZone == smp.zone {
 			smp.rec.Event(document.IndicatorStrandedVMs, "", "", members[vmc.Name])
 		}
 	}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -18,7 +18,7 @@
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/lease"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/probe"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/zone"
@@ -38,11 +38,11 @@
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *probe.Prober {
-	vms := func() []platform.VM { return inv.Engines(set.Entry.AvailabilityZone) }
+	vms := func() []objects.VM { return inv.Engines(set.Entry.AvailabilityZone) }
 	return probe.New(set.Control.ProbeInterval, tab, mbs, msh, bck.Report, vms, clk, log)
 }
 
-func newLease(set *settings.Settings, pst platform.Store, clk clockwork.Clock) *lease.Lease {
+func newLease(set *settings.Settings, pst objects.Store, clk clockwork.Clock) *lease.Lease {
 	return lease.New(set.Entry.AvailabilityZone, set.Entry.Name, set.Control.LeaseDuration, pst, clk)
 }
 
@@ -55,7 +55,7 @@
 	Inventory  *inventory.Inventory
 	Table      *evidence.Table
 	Membership *zone.Membership
-	Platform   platform.Store
+	Platform   objects.Store
 	Store      *generation.Store
 	Backend    *backend.Client
 	Clock      clockwork.Clock
@@ -103,7 +103,7 @@
 	vms := inv.VMs()
 	num := 0
 	for _, vmc := range vms {
-		if vmc.Role == platform.RoleEntry && vmc.AvailabilityZone == zone && vmc.State == platform.VMLive {
+		if vmc.Role == objects.RoleEntry && vmc.AvailabilityZone == zone && vmc.State == objects.VMLive {
 			num++
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,7 +20,7 @@
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/operator"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/probe"
 	"github.com/cumintally/cumintally/internal/servicecall"
 	"github.com/cumintally/cumintally/internal/settings"
@@ -132,7 +132,7 @@
 	wgr.Go(func() { ent.dep.Suspects.run(ctx) })
 	wgr.Go(func() { fol.settle(ctx) })
 	wgr.Go(func() { ent.dep.Sampler.run(ctx) })
-	for _, kind := range []string{platform.KindAllocation, platform.KindZone, platform.KindDocument} {
+	for _, kind := range []string{objects.KindAllocation, objects.KindZone, objects.KindDocument} {
 		wgr.Go(func() { fol.follow(ctx, kind) })
 	}
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -14,7 +14,7 @@
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/objectcache"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/zone"
 )
 
@@ -25,7 +25,7 @@
 	// watchDelay is the time between two checks of who watches, and between two attempts.
 	watchDelay = 500 * time.Millisecond
 	// topicDocument is the gossip topic of the document in force.
-	topicDocument = platform.KindDocument
+	topicDocument = objects.KindDocument
 	// topicVMs is the gossip topic of the platform's list of VMs.
 	topicVMs = "VMs"
 	// listInterval is the time between two reads of the list of VMs by the one daemon that reads it for
@@ -39,7 +39,7 @@
 // follower keeps this daemon's copies of the platform's objects current, from the platform if it is one
 // of the zone's watchers, else from its peers.
 type follower struct {
-	pst platform.Store
+	pst objects.Store
 	mbs *zone.Membership
 	gsp *gossip.Gossip
 	sto *generation.Store
@@ -55,7 +55,7 @@
 }
 
 func newFollower(
-	pst platform.Store,
+	pst objects.Store,
 	mbs *zone.Membership,
 	gsp *gossip.Gossip,
 	sto *generation.Store,
@@ -72,8 +72,8 @@
 		clk: clk,
 		log: log.Named("follow"),
 		caches: map[string]*objectcache.Cache{
-			platform.KindAllocation: objectcache.New(inv.TakeAllocation),
-			platform.KindZone:       objectcache.New(inv.TakeZone),
+			objects.KindAllocation: objectcache.New(inv.TakeAllocation),
+			objects.KindZone:       objectcache.New(inv.TakeZone),
 			topicVMs:                objectcache.New(inv.TakeVM),
 		},
 	}
@@ -125,7 +125,7 @@
 	}
 }
 
-func (fol *follower) absorb(ctx context.Context, kind string, objs []platform.Object) error {
+func (fol *follower) absorb(ctx context.Context, kind string, objs []objects.Object) error {
 	if kind == topicDocument {
 		before := fol.sto.Position()
 		for _, obj := range objs {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -11,7 +11,7 @@
 	"github.com/cumintally/cumintally/internal/dispatch"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/refusal"
 	"github.com/cumintally/cumintally/internal/settings"
 )
@@ -39,7 +39,7 @@
 		var adrs []string
 		vms := inv.VMs()
 		for _, vmc := range vms {
-			if vmc.Role == platform.RoleEntry && vmc.AvailabilityZone != set.Entry.AvailabilityZone && !inv.Zone(vmc.AvailabilityZone).Out {
+			if vmc.Role == objects.RoleEntry && vmc.AvailabilityZone != set.Entry.AvailabilityZone && !inv.Zone(vmc.AvailabilityZone).Out {
 				adrs = append(adrs, vmc.Address)
 			}
 		}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -12,7 +12,7 @@
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/operator"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/rollout"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/survey"
@@ -25,7 +25,7 @@
 	msh *peer.Mesh,
 	mbs *zone.Membership,
 	inv *inventory.Inventory,
-	pst platform.Store,
+	pst objects.Store,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *zoneorder.Orders {
@@ -43,7 +43,7 @@
 			var adrs []string
 			vms := inv.VMs()
 			for _, vmc := range vms {
-				if vmc.Role == platform.RoleEntry && vmc.AvailabilityZone == zone {
+				if vmc.Role == objects.RoleEntry && vmc.AvailabilityZone == zone {
 					adrs = append(adrs, vmc.Address)
 				}
 			}
@@ -66,7 +66,7 @@
 	Table      *evidence.Table
 	Membership *zone.Membership
 	Rollout    *rollout.Rollout
-	Platform   platform.Store
+	Platform   objects.Store
 	Orders     *zoneorder.Orders
 	Burn       *survey.Survey[[]burn.Series]
 	Metrics    metrics.Registry
--- a/internal/entry/permits.go
+++ b/internal/entry/permits.go
@@ -8,7 +8,7 @@
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/peer"
 	"github.com/cumintally/cumintally/internal/permit"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 // kindPermit is the kind of the call that asks the owner of groups for slots.
@@ -121,8 +121,8 @@
 	vms := lms.inv.VMs()
 	num := 1
 	for _, vmc := range vms {
-		if vmc.Role == platform.RoleEntry && vmc.AvailabilityZone == lms.set.Entry.AvailabilityZone &&
-			vmc.State == platform.VMLive && vmc.Name != lms.set.Entry.Name {
+		if vmc.Role == objects.RoleEntry && vmc.AvailabilityZone == lms.set.Entry.AvailabilityZone &&
+			vmc.State == objects.VMLive && vmc.Name != lms.set.Entry.Name {
 			num++
 		}
 	}
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -7,33 +7,33 @@
 
 	metrics "github.com/rcrowley/go-metrics"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/settings"
 )
 
 // watchMargin is added to the platform's own wait of a watch before the call is given up.
 const watchMargin = 20 * time.Second
 
-func newPlatformStore(set *settings.Settings, met metrics.Registry, dil dial) platform.Store {
+func newPlatformStore(set *settings.Settings, met metrics.Registry, dil dial) objects.Store {
 	htc := &http.Client{
 		Transport: &http.Transport{
 			DialContext:         dil,
 			MaxIdleConnsPerHost: 16,
 		},
 	}
-	pst := platform.New("http://"+set.Platform.Address, htc, metrics.GetOrRegisterCounter("PlatformCalls", met)).Store()
+	pst := objects.New("http://"+set.Platform.Address, htc, metrics.GetOrRegisterCounter("PlatformCalls", met)).Store()
 	return withTimeouts(pst, set.Platform.Timeout)
 }
 
 // withTimeouts bounds each call, so that a platform that hangs is seen as out.
-func withTimeouts(pst platform.Store, tmo time.Duration) platform.Store {
+func withTimeouts(pst objects.Store, tmo time.Duration) objects.Store {
 	lim := pst
-	lim.Get = func(ctx context.Context, kind, name string) (platform.Object, error) {
+	lim.Get = func(ctx context.Context, kind, name string) (objects.Object, error) {
 		ctx, cancel := context.WithTimeout(ctx, tmo)
 		defer cancel()
 		return pst.Get(ctx, kind, name)
 	}
-	lim.List = func(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+	lim.List = func(ctx context.Context, kind string) ([]objects.Object, uint64, error) {
 		ctx, cancel := context.WithTimeout(ctx, tmo)
 		defer cancel()
 		return pst.List(ctx, kind)
@@ -48,12 +48,12 @@
 		defer cancel()
 		return pst.Delete(ctx, kind, name, expected)
 	}
-	lim.Watch = func(ctx context.Context, kind string, since uint64) ([]platform.Object, uint64, error) {
+	lim.Watch = func(ctx context.Context, kind string, since uint64) ([]objects.Object, uint64, error) {
 		ctx, cancel := context.WithTimeout(ctx, watchMargin)
 		defer cancel()
 		return pst.Watch(ctx, kind, since)
 	}
-	lim.VMs = func(ctx context.Context) ([]platform.VM, error) {
+	lim.VMs = func(ctx context.Context) ([]objects.VM, error) {
 		ctx, cancel := context.WithTimeout(ctx, tmo)
 		defer cancel()
 		return pst.VMs(ctx)
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -13,7 +13,7 @@
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/workspace"
@@ -90,7 +90,7 @@
 		adrs := append([]string(nil), set.Peers.Seeds...)
 		vms := inv.VMs()
 		for _, vmc := range vms {
-			if vmc.Role == platform.RoleEntry && vmc.AvailabilityZone == set.Entry.AvailabilityZone {
+			if vmc.Role == objects.RoleEntry && vmc.AvailabilityZone == set.Entry.AvailabilityZone {
 				adrs = append(adrs, vmc.Address)
 			}
 		}
@@ -99,7 +99,7 @@
 	return zone.New(msh, seeds, clk, log)
 }
 
-func newStore(set *settings.Settings, pst platform.Store, log *zap.Logger) *generation.Store {
+func newStore(set *settings.Settings, pst objects.Store, log *zap.Logger) *generation.Store {
 	return generation.New(set.Entry.Environment, pst, log)
 }
 
--- a/internal/entry/services.go
+++ b/internal/entry/services.go
@@ -11,7 +11,7 @@
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/servicecall"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/zone"
@@ -22,7 +22,7 @@
 
 func newLedger(
 	set *settings.Settings,
-	pst platform.Store,
+	pst objects.Store,
 	msh *peer.Mesh,
 	mbs *zone.Membership,
 	clk clockwork.Clock,
@@ -55,9 +55,9 @@
 	log *zap.Logger,
 ) *servicecall.Caller {
 	// A backend server in a zone that operators have taken out of service gets no new calls.
-	vms := func() []platform.VM {
+	vms := func() []objects.VM {
 		all := inv.VMs()
-		var use []platform.VM
+		var use []objects.VM
 		for _, vmc := range all {
 			if !inv.Zone(vmc.AvailabilityZone).Out {
 				use = append(use, vmc)
--- a/internal/generation/difference_bench_test.go
+++ b/internal/generation/difference_bench_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	standin "github.com/cumintally/cumintally/internal/standin/platform"
 )
 
@@ -42,7 +42,7 @@
 			}
 			for b.Loop() {
 				b.StopTimer()
-				daemon := newStore(platform.Store{})
+				daemon := newStore(objects.Store{})
 				if err := daemon.Take(ctx, wholes[0]); err != nil {
 					b.Fatal(err)
 				}
--- a/internal/generation/operations.go
+++ b/internal/generation/operations.go
@@ -7,7 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/pkg/document"
 )
 
@@ -50,9 +50,9 @@
 		trl.Passed = trl.Passed && res.Passed
 	}
 	for _, prt := range pts {
-		_, err := sto.pst.Put(ctx, platform.KindPart, prt.Digest, 0, prt.Value)
+		_, err := sto.pst.Put(ctx, objects.KindPart, prt.Digest, 0, prt.Value)
 		// A part that is there already has the same content, since its name is its digest.
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, objects.ErrConflict) {
 			return Trial{}, errors.Trace(err)
 		}
 		trl.Parts = append(trl.Parts, PartReference{
@@ -68,11 +68,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	old, err := sto.pst.Get(ctx, platform.KindTrial, trl.Digest)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	old, err := sto.pst.Get(ctx, objects.KindTrial, trl.Digest)
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		return errors.Trace(err)
 	}
-	_, err = sto.pst.Put(ctx, platform.KindTrial, trl.Digest, old.Version, val)
+	_, err = sto.pst.Put(ctx, objects.KindTrial, trl.Digest, old.Version, val)
 	return errors.Trace(err)
 }
 
@@ -111,13 +111,13 @@
 func (sto *Store) accept(ctx context.Context, expected uint64, hed Head, val []byte) error {
 	var err error
 	for range maxWriteAttempts {
-		_, err = sto.pst.Put(ctx, platform.KindDocument, sto.environment, expected, val)
-		if !errors.Is(err, platform.ErrUnknownOutcome) && !errors.Is(err, platform.ErrConflict) {
+		_, err = sto.pst.Put(ctx, objects.KindDocument, sto.environment, expected, val)
+		if !errors.Is(err, objects.ErrUnknownOutcome) && !errors.Is(err, objects.ErrConflict) {
 			return errors.Trace(err)
 		}
 		now, readErr := sto.Accepted(ctx)
 		if readErr != nil {
-			return errors.Annotatef(platform.ErrUnknownOutcome, "read back: %v", readErr)
+			return errors.Annotatef(objects.ErrUnknownOutcome, "read back: %v", readErr)
 		}
 		if now.Writer == hed.Writer {
 			return nil
@@ -138,8 +138,8 @@
 // read returns the accepted head and its version, both zero if there is none.
 func (sto *Store) read(ctx context.Context) (Head, uint64, error) {
 	var hed Head
-	obj, err := sto.pst.Get(ctx, platform.KindDocument, sto.environment)
-	if errors.Is(err, platform.ErrNotFound) {
+	obj, err := sto.pst.Get(ctx, objects.KindDocument, sto.environment)
+	if errors.Is(err, objects.ErrNotFound) {
 		return hed, 0, nil
 	}
 	if err != nil {
@@ -150,8 +150,8 @@
 
 func (sto *Store) trial(ctx context.Context, digest string) (Trial, error) {
 	var trl Trial
-	obj, err := sto.pst.Get(ctx, platform.KindTrial, digest)
-	if errors.Is(err, platform.ErrNotFound) {
+	obj, err := sto.pst.Get(ctx, objects.KindTrial, digest)
+	if errors.Is(err, objects.ErrNotFound) {
 		return trl, errors.Annotatef(ErrNotTried, "digest %s", digest)
 	}
 	if err != nil {
--- a/internal/generation/store.go
+++ b/internal/generation/store.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/pkg/document"
 )
 
@@ -19,7 +19,7 @@
 // Store holds the generation in force on this daemon.
 type Store struct {
 	environment string
-	pst         platform.Store
+	pst         objects.Store
 	log         *zap.Logger
 
 	settled atomic.Bool
@@ -32,7 +32,7 @@
 }
 
 // New returns a store for an environment that fetches parts from the platform.
-func New(environment string, pst platform.Store, log *zap.Logger) *Store {
+func New(environment string, pst objects.Store, log *zap.Logger) *Store {
 	sto := &Store{
 		environment: environment,
 		pst:         pst,
@@ -70,7 +70,7 @@
 }
 
 // TakeObject applies an object of kind Document if it is this environment's.
-func (sto *Store) TakeObject(ctx context.Context, obj platform.Object) error {
+func (sto *Store) TakeObject(ctx context.Context, obj objects.Object) error {
 	if obj.Name != sto.environment || obj.Deleted {
 		return nil
 	}
@@ -129,6 +129,6 @@
 	if val, ok := given[digest]; ok {
 		return val, nil
 	}
-	obj, err := sto.pst.Get(ctx, platform.KindPart, digest)
+	obj, err := sto.pst.Get(ctx, objects.KindPart, digest)
 	return obj.Value, err
 }
--- a/internal/generation/store_test.go
+++ b/internal/generation/store_test.go
@@ -13,14 +13,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/cumintally/cumintally/internal/generation"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	standin "github.com/cumintally/cumintally/internal/standin/platform"
 	"github.com/cumintally/cumintally/pkg/document"
 )
 
 const environment = "production"
 
-func newStore(pst platform.Store) *generation.Store {
+func newStore(pst objects.Store) *generation.Store {
 	return generation.New(environment, pst, zap.NewNop())
 }
 
@@ -54,8 +54,8 @@
 }
 
 // follow applies the accepted generation as a watcher of the platform does.
-func follow(ctx context.Context, pst platform.Store, sto *generation.Store) error {
-	obj, err := pst.Get(ctx, platform.KindDocument, environment)
+func follow(ctx context.Context, pst objects.Store, sto *generation.Store) error {
+	obj, err := pst.Get(ctx, objects.KindDocument, environment)
 	if err != nil {
 		return err
 	}
@@ -71,7 +71,7 @@
 	sto.Settle()
 	_, err := promote(ctx, sto, newDocument(1), 0)
 	c.Assert(err, qt.IsNil)
-	old, err := pst.Get(ctx, platform.KindDocument, environment)
+	old, err := pst.Get(ctx, objects.KindDocument, environment)
 	c.Assert(err, qt.IsNil)
 	_, err = promote(ctx, sto, newDocument(2), 1)
 	c.Assert(err, qt.IsNil)
@@ -118,8 +118,8 @@
 	losing := pst
 	losing.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
 		ver, err := pst.Put(ctx, kind, name, expected, value)
-		if kind == platform.KindDocument && err == nil {
-			return 0, platform.ErrUnknownOutcome
+		if kind == objects.KindDocument && err == nil {
+			return 0, objects.ErrUnknownOutcome
 		}
 		return ver, err
 	}
@@ -128,13 +128,13 @@
 	c.Assert(hed.Generation, qt.Equals, uint64(1))
 	notWritten := pst
 	notWritten.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
-		if kind == platform.KindDocument {
-			return 0, platform.ErrUnknownOutcome
+		if kind == objects.KindDocument {
+			return 0, objects.ErrUnknownOutcome
 		}
 		return pst.Put(ctx, kind, name, expected, value)
 	}
 	_, err = promote(ctx, newStore(notWritten), newDocument(2), 1)
-	c.Assert(errors.Is(err, platform.ErrUnknownOutcome), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(errors.Is(err, objects.ErrUnknownOutcome), qt.IsTrue, qt.Commentf("%v", err))
 }
 
 // TestLostAnswerToLoser guards against a promotion reported as accepted although another one won.
@@ -144,11 +144,11 @@
 	pst := standin.NewStore().Platform()
 	racing := pst
 	racing.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
-		if kind != platform.KindDocument {
+		if kind != objects.KindDocument {
 			return pst.Put(ctx, kind, name, expected, value)
 		}
 		_, _ = promote(ctx, newStore(pst), newDocument(3), 0)
-		return 0, platform.ErrUnknownOutcome
+		return 0, objects.ErrUnknownOutcome
 	}
 	_, err := promote(ctx, newStore(racing), newDocument(2), 0)
 	c.Assert(errors.Is(err, generation.ErrConflict), qt.IsTrue, qt.Commentf("%v", err))
@@ -197,9 +197,9 @@
 		leader := newStore(pst)
 		leader.Settle()
 		// The follower has no platform, so that everything must come with the differences.
-		follower := newStore(platform.Store{
-			Get: func(context.Context, string, string) (platform.Object, error) {
-				return platform.Object{}, platform.ErrUnavailable
+		follower := newStore(objects.Store{
+			Get: func(context.Context, string, string) (objects.Object, error) {
+				return objects.Object{}, objects.ErrUnavailable
 			},
 		})
 		follower.Settle()
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/group"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 // Zone is the object Zone/<name>: whether operators have taken the availability zone out of service.
@@ -42,9 +42,9 @@
 	allocations map[string]versionedAllocation
 	zones       map[string]Zone
 	written     map[string]Zone
-	byName      map[string]platform.VM
+	byName      map[string]objects.VM
 	// vms is byName as a list in the order of the names, nil after a change.
-	vms []platform.VM
+	vms []objects.VM
 }
 
 type versionedAllocation struct {
@@ -59,13 +59,13 @@
 		allocations: map[string]versionedAllocation{},
 		zones:       map[string]Zone{},
 		written:     map[string]Zone{},
-		byName:      map[string]platform.VM{},
+		byName:      map[string]objects.VM{},
 	}
 }
 
 // TakeVM keeps an entry of the platform's list of VMs, or drops it if it is deleted.
-func (inv *Inventory) TakeVM(_ context.Context, obj platform.Object) {
-	var vmc platform.VM
+func (inv *Inventory) TakeVM(_ context.Context, obj objects.Object) {
+	var vmc objects.VM
 	if !obj.Deleted {
 		if err := json.Unmarshal(obj.Value, &vmc); err != nil {
 			inv.log.Error("cannot read a VM", zap.String("name", obj.Name), zap.Error(err))
@@ -83,7 +83,7 @@
 }
 
 // TakeAllocation keeps an object of kind Allocation unless a newer one is known.
-func (inv *Inventory) TakeAllocation(_ context.Context, obj platform.Object) {
+func (inv *Inventory) TakeAllocation(_ context.Context, obj objects.Object) {
 	var alc group.Allocation
 	if !obj.Deleted {
 		if err := json.Unmarshal(obj.Value, &alc); err != nil {
@@ -106,7 +106,7 @@
 }
 
 // TakeZone keeps an object of kind Zone unless a newer one is known.
-func (inv *Inventory) TakeZone(_ context.Context, obj platform.Object) {
+func (inv *Inventory) TakeZone(_ context.Context, obj objects.Object) {
 	if obj.Deleted {
 		return
 	}
@@ -193,7 +193,7 @@
 }
 
 // VMs returns the platform's list of VMs, which must not be changed.
-func (inv *Inventory) VMs() []platform.VM {
+func (inv *Inventory) VMs() []objects.VM {
 	inv.mu.RLock()
 	vms := inv.vms
 	inv.mu.RUnlock()
@@ -206,9 +206,9 @@
 }
 
 // listVMs makes the list of VMs after a change; the lock is held.
-func (inv *Inventory) listVMs() []platform.VM {
+func (inv *Inventory) listVMs() []objects.VM {
 	if inv.vms == nil {
-		inv.vms = make([]platform.VM, 0, len(inv.byName))
+		inv.vms = make([]objects.VM, 0, len(inv.byName))
 		for _, vmc := range inv.byName {
 			inv.vms = append(inv.vms, vmc)
 		}
@@ -219,13 +219,13 @@
 
 // Engines returns the engines of an availability zone: those that the platform lists, and members of
 // groups that the list lacks, since the list lags; these have no State.
-func (inv *Inventory) Engines(zone string) []platform.VM {
+func (inv *Inventory) Engines(zone string) []objects.VM {
 	inv.mu.Lock()
 	defer inv.mu.Unlock()
-	var vms []platform.VM
+	var vms []objects.VM
 	listed := map[string]bool{}
 	for _, vmc := range inv.listVMs() {
-		if vmc.Role == platform.RoleEngine && vmc.AvailabilityZone == zone {
+		if vmc.Role == objects.RoleEngine && vmc.AvailabilityZone == zone {
 			vms = append(vms, vmc)
 			listed[vmc.Name] = true
 		}
@@ -239,11 +239,11 @@
 				if listed[mem.VM] {
 					continue
 				}
-				vms = append(vms, platform.VM{
+				vms = append(vms, objects.VM{
 					Name:             mem.VM,
 					AvailabilityZone: zone,
 					FabricDomain:     val.allocation.FabricDomain,
-					Role:             platform.RoleEngine,
+					Role:             objects.RoleEngine,
 					Address:          mem.Address,
 				})
 			}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -10,7 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 // Record is the value of the object Lease/<zone>.
@@ -31,7 +31,7 @@
 	holder   string
 	instance string
 	duration time.Duration
-	pst      platform.Store
+	pst      objects.Store
 	clk      clockwork.Clock
 
 	// calls keeps Acquire and Release apart: a renewal whose answer comes after a release would bring the
@@ -42,7 +42,7 @@
 	held     bool
 	heldFrom time.Time
 	epoch    uint64
-	seen     platform.Object
+	seen     objects.Object
 	seenAt   time.Time
 	// failed says that the last read failed; notBefore is when another daemon's lease may be taken over.
 	failed    bool
@@ -50,7 +50,7 @@
 }
 
 // New returns a lease on a zone for the daemon named holder.
-func New(zone, holder string, duration time.Duration, pst platform.Store, clk clockwork.Clock) *Lease {
+func New(zone, holder string, duration time.Duration, pst objects.Store, clk clockwork.Clock) *Lease {
 	return &Lease{
 		zone:     zone,
 		holder:   holder,
@@ -82,8 +82,8 @@
 	if les.fresh() {
 		return nil
 	}
-	obj, err := les.pst.Get(ctx, platform.KindLease, les.zone)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	obj, err := les.pst.Get(ctx, objects.KindLease, les.zone)
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		les.mu.Lock()
 		les.failed = true
 		les.mu.Unlock()
@@ -114,7 +114,7 @@
 }
 
 // observe notes when the record last changed and reports whether this daemon may write it.
-func (les *Lease) observe(obj platform.Object) (Record, bool) {
+func (les *Lease) observe(obj objects.Object) (Record, bool) {
 	les.mu.Lock()
 	defer les.mu.Unlock()
 	var rec Record
@@ -147,12 +147,12 @@
 		return errors.Trace(err)
 	}
 	before := les.clk.Now()
-	_, err = les.pst.Put(ctx, platform.KindLease, les.zone, expected, val)
+	_, err = les.pst.Put(ctx, objects.KindLease, les.zone, expected, val)
 	les.mu.Lock()
 	defer les.mu.Unlock()
 	if err != nil {
 		// After an unknown outcome the next Acquire reads back who holds the lease.
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, objects.ErrConflict) {
 			les.held = false
 		}
 		return errors.Trace(err)
@@ -170,7 +170,7 @@
 	if !les.Held() {
 		return nil
 	}
-	obj, err := les.pst.Get(ctx, platform.KindLease, les.zone)
+	obj, err := les.pst.Get(ctx, objects.KindLease, les.zone)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -187,6 +187,6 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	_, err = les.pst.Put(ctx, platform.KindLease, les.zone, obj.Version, val)
+	_, err = les.pst.Put(ctx, objects.KindLease, les.zone, obj.Version, val)
 	return errors.Trace(err)
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -12,7 +12,7 @@
 	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	standin "github.com/cumintally/cumintally/internal/standin/platform"
 )
 
@@ -64,7 +64,7 @@
 	slow.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
 		fate := rapid.SampledFrom([]string{"fast", "fast", "slow", "lost", "out"}).Draw(rpd, "fate")
 		if fate == "out" {
-			return 0, platform.ErrUnavailable
+			return 0, objects.ErrUnavailable
 		}
 		if fate == "slow" {
 			pause(depth)
@@ -74,7 +74,7 @@
 			pause(depth)
 		}
 		if fate == "lost" {
-			return 0, platform.ErrUnknownOutcome
+			return 0, objects.ErrUnknownOutcome
 		}
 		return ver, err
 	}
@@ -133,10 +133,10 @@
 	lossy := pst
 	lossy.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
 		_, _ = pst.Put(ctx, kind, name, expected, value)
-		return 0, platform.ErrUnknownOutcome
+		return 0, objects.ErrUnknownOutcome
 	}
 	les := New("zone", "entry-1", duration, lossy, clk)
-	qt.Assert(tst, errors.Is(les.Acquire(tst.Context()), platform.ErrUnknownOutcome), qt.IsTrue)
+	qt.Assert(tst, errors.Is(les.Acquire(tst.Context()), objects.ErrUnknownOutcome), qt.IsTrue)
 	qt.Assert(tst, les.Held(), qt.IsFalse)
 	les.pst = pst
 	qt.Assert(tst, les.Acquire(tst.Context()), qt.IsNil)
@@ -166,9 +166,9 @@
 	pst := standin.NewStore().Platform()
 	out := false
 	flaky := pst
-	flaky.Get = func(ctx context.Context, kind, name string) (platform.Object, error) {
+	flaky.Get = func(ctx context.Context, kind, name string) (objects.Object, error) {
 		if out {
-			return platform.Object{}, platform.ErrUnavailable
+			return objects.Object{}, objects.ErrUnavailable
 		}
 		return pst.Get(ctx, kind, name)
 	}
@@ -178,7 +178,7 @@
 	qt.Assert(tst, snd.Acquire(tst.Context()), qt.IsNil)
 	out = true
 	clk.Advance(2 * duration)
-	qt.Assert(tst, snd.Acquire(tst.Context()), qt.ErrorIs, platform.ErrUnavailable)
+	qt.Assert(tst, snd.Acquire(tst.Context()), qt.ErrorIs, objects.ErrUnavailable)
 	out = false
 	qt.Assert(tst, snd.Acquire(tst.Context()), qt.IsNil)
 	qt.Assert(tst, snd.Held(), qt.IsFalse)
--- a/internal/objectcache/cache.go
+++ b/internal/objectcache/cache.go
@@ -8,7 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 // ErrMalformed says that a peer sent objects that cannot be read.
@@ -16,18 +16,18 @@
 
 // Cache holds the objects of one kind.
 type Cache struct {
-	take func(ctx context.Context, obj platform.Object)
+	take func(ctx context.Context, obj objects.Object)
 
 	mu       sync.Mutex
 	position uint64
-	objects  map[string]platform.Object
+	objects  map[string]objects.Object
 }
 
 // New returns an empty copy that hands each new version of an object to take.
-func New(take func(ctx context.Context, obj platform.Object)) *Cache {
+func New(take func(ctx context.Context, obj objects.Object)) *Cache {
 	return &Cache{
 		take:    take,
-		objects: map[string]platform.Object{},
+		objects: map[string]objects.Object{},
 	}
 }
 
@@ -39,7 +39,7 @@
 }
 
 // Absorb adds changes; they must lack none after this copy's position. It reports whether any is news.
-func (cch *Cache) Absorb(ctx context.Context, objs []platform.Object) bool {
+func (cch *Cache) Absorb(ctx context.Context, objs []objects.Object) bool {
 	news := cch.merge(objs)
 	for _, obj := range news {
 		cch.take(ctx, obj)
@@ -47,10 +47,10 @@
 	return len(news) > 0
 }
 
-func (cch *Cache) merge(objs []platform.Object) []platform.Object {
+func (cch *Cache) merge(objs []objects.Object) []objects.Object {
 	cch.mu.Lock()
 	defer cch.mu.Unlock()
-	var news []platform.Object
+	var news []objects.Object
 	for _, obj := range objs {
 		if obj.Version > cch.objects[obj.Name].Version {
 			cch.objects[obj.Name] = obj
@@ -67,14 +67,14 @@
 	return cch.Absorb(ctx, cch.differences(list))
 }
 
-func (cch *Cache) differences(list map[string][]byte) []platform.Object {
+func (cch *Cache) differences(list map[string][]byte) []objects.Object {
 	cch.mu.Lock()
 	defer cch.mu.Unlock()
 	next := cch.position + 1
-	var objs []platform.Object
+	var objs []objects.Object
 	for name, val := range list {
 		if old, ok := cch.objects[name]; !ok || old.Deleted || !bytes.Equal(old.Value, val) {
-			objs = append(objs, platform.Object{
+			objs = append(objs, objects.Object{
 				Name:    name,
 				Version: next,
 				Value:   val,
@@ -83,7 +83,7 @@
 	}
 	for name, old := range cch.objects {
 		if _, ok := list[name]; !ok && !old.Deleted {
-			objs = append(objs, platform.Object{
+			objs = append(objs, objects.Object{
 				Name:    name,
 				Version: next,
 				Deleted: true,
@@ -97,7 +97,7 @@
 func (cch *Cache) Since(position uint64) ([]byte, error) {
 	cch.mu.Lock()
 	defer cch.mu.Unlock()
-	var objs []platform.Object
+	var objs []objects.Object
 	for _, obj := range cch.objects {
 		if obj.Version > position {
 			objs = append(objs, obj)
@@ -109,7 +109,7 @@
 
 // Take adds what a peer's Since returned.
 func (cch *Cache) Take(ctx context.Context, data []byte) error {
-	var objs []platform.Object
+	var objs []objects.Object
 	if err := cbor.Unmarshal(data, &objs); err != nil {
 		return errors.Annotate(ErrMalformed, err.Error())
 	}
--- a/internal/platform/client.go
+++ b/internal/objects/client.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 import (
 	"bytes"
--- a/internal/platform/contract_test.go
+++ b/internal/objects/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objects_test
 
 import (
 	"context"
@@ -12,14 +12,14 @@
 	qt "github.com/frankban/quicktest"
 	metrics "github.com/rcrowley/go-metrics"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	standin "github.com/cumintally/cumintally/internal/standin/platform"
 )
 
-const kind = platform.KindLease
+const kind = objects.KindLease
 
 // over serves a store over HTTP and returns a client of it, and the address for faults.
-func over(tst *testing.T, cfg standin.Config, sto *standin.Store) (platform.Store, string) {
+func over(tst *testing.T, cfg standin.Config, sto *standin.Store) (objects.Store, string) {
 	srv := httptest.NewServer(standin.New(cfg, sto).Handler())
 	tst.Cleanup(func() {
 		srv.CloseClientConnections()
@@ -28,8 +28,8 @@
 	return client(srv.URL), srv.URL
 }
 
-func client(url string) platform.Store {
-	return platform.New(url, &http.Client{Transport: &http.Transport{}}, metrics.NewCounter()).Store()
+func client(url string) objects.Store {
+	return objects.New(url, &http.Client{Transport: &http.Transport{}}, metrics.NewCounter()).Store()
 }
 
 func setFaults(tst *testing.T, url, faults string) {
@@ -46,7 +46,7 @@
 func TestContract(tst *testing.T) {
 	for _, tcs := range []struct {
 		name string
-		run  func(ctx context.Context, ckr *qt.C, pst platform.Store)
+		run  func(ctx context.Context, ckr *qt.C, pst objects.Store)
 	}{
 		{"conditions", testConditions},
 		{"names", testNames},
@@ -62,29 +62,29 @@
 	}
 }
 
-func testConditions(ctx context.Context, ckr *qt.C, pst platform.Store) {
+func testConditions(ctx context.Context, ckr *qt.C, pst objects.Store) {
 	_, err := pst.Get(ctx, kind, "one")
-	ckr.Assert(err, qt.ErrorIs, platform.ErrNotFound)
+	ckr.Assert(err, qt.ErrorIs, objects.ErrNotFound)
 	_, err = pst.Put(ctx, kind, "one", 7, []byte(`1`))
-	ckr.Assert(err, qt.ErrorIs, platform.ErrConflict)
+	ckr.Assert(err, qt.ErrorIs, objects.ErrConflict)
 	fst, err := pst.Put(ctx, kind, "one", 0, []byte(`1`))
 	ckr.Assert(err, qt.IsNil)
 	_, err = pst.Put(ctx, kind, "one", 0, []byte(`2`))
-	ckr.Assert(err, qt.ErrorIs, platform.ErrConflict)
+	ckr.Assert(err, qt.ErrorIs, objects.ErrConflict)
 	other, err := pst.Put(ctx, kind, "two", 0, []byte(`2`))
 	ckr.Assert(err, qt.IsNil)
 	snd, err := pst.Put(ctx, kind, "one", fst, []byte(`3`))
 	ckr.Assert(err, qt.IsNil)
 	ckr.Assert(fst < other && other < snd, qt.IsTrue)
-	ckr.Assert(pst.Delete(ctx, kind, "one", fst), qt.ErrorIs, platform.ErrConflict)
+	ckr.Assert(pst.Delete(ctx, kind, "one", fst), qt.ErrorIs, objects.ErrConflict)
 	obj, err := pst.Get(ctx, kind, "one")
 	ckr.Assert(err, qt.IsNil)
-	ckr.Assert(obj, qt.DeepEquals, platform.Object{Kind: kind, Name: "one", Version: snd, Value: []byte(`3`)})
+	ckr.Assert(obj, qt.DeepEquals, objects.Object{Kind: kind, Name: "one", Version: snd, Value: []byte(`3`)})
 	ckr.Assert(pst.Delete(ctx, kind, "one", snd), qt.IsNil)
 	_, err = pst.Get(ctx, kind, "one")
-	ckr.Assert(err, qt.ErrorIs, platform.ErrNotFound)
+	ckr.Assert(err, qt.ErrorIs, objects.ErrNotFound)
 	_, err = pst.Put(ctx, kind, "one", snd, []byte(`4`))
-	ckr.Assert(err, qt.ErrorIs, platform.ErrConflict)
+	ckr.Assert(err, qt.ErrorIs, objects.ErrConflict)
 	objs, rev, err := pst.List(ctx, kind)
 	ckr.Assert(err, qt.IsNil)
 	ckr.Assert(objs, qt.HasLen, 1)
@@ -92,11 +92,11 @@
 	again, err := pst.Put(ctx, kind, "one", 0, []byte(`5`))
 	ckr.Assert(err, qt.IsNil)
 	ckr.Assert(again > rev, qt.IsTrue)
-	_, err = pst.Put(ctx, kind, "big", 0, []byte(`"`+strings.Repeat("x", platform.MaxValueSize)+`"`))
-	ckr.Assert(err, qt.ErrorIs, platform.ErrTooLarge)
+	_, err = pst.Put(ctx, kind, "big", 0, []byte(`"`+strings.Repeat("x", objects.MaxValueSize)+`"`))
+	ckr.Assert(err, qt.ErrorIs, objects.ErrTooLarge)
 }
 
-func testNames(ctx context.Context, ckr *qt.C, pst platform.Store) {
+func testNames(ctx context.Context, ckr *qt.C, pst objects.Store) {
 	names := []string{"a/b", "a%2Fb", "ü ?#&", "..", "x+y"}
 	for idx, name := range names {
 		_, err := pst.Put(ctx, kind, name, 0, fmt.Append(nil, idx))
@@ -109,12 +109,12 @@
 	}
 }
 
-func testWatch(ctx context.Context, ckr *qt.C, pst platform.Store) {
+func testWatch(ctx context.Context, ckr *qt.C, pst objects.Store) {
 	_, rev, err := pst.List(ctx, kind)
 	ckr.Assert(err, qt.IsNil)
 	go func() {
 		time.Sleep(20 * time.Millisecond)
-		_, _ = pst.Put(ctx, platform.KindZone, "other kind", 0, []byte(`1`))
+		_, _ = pst.Put(ctx, objects.KindZone, "other kind", 0, []byte(`1`))
 		_, _ = pst.Put(ctx, kind, "one", 0, []byte(`1`))
 	}()
 	objs, rev, err := pst.Watch(ctx, kind, rev)
@@ -138,12 +138,12 @@
 		written bool
 	}{
 		{"none", `{}`, nil, nil, true},
-		{"outage", `{"Out":true}`, platform.ErrUnavailable, platform.ErrUnavailable, false},
-		{"over the rate", `{"ReadRate":0.001,"WriteRate":0.001}`, platform.ErrUnavailable, platform.ErrUnavailable, false},
-		{"lost answer", `{"LoseAnswers":1}`, nil, platform.ErrUnknownOutcome, true},
-		{"lost write", `{"LoseWrites":1}`, nil, platform.ErrUnknownOutcome, false},
-		{"slow", `{"Delay":1000000000}`, platform.ErrUnavailable, platform.ErrUnknownOutcome, false},
-		{"slow answer", `{"AnswerDelay":1000000000}`, nil, platform.ErrUnknownOutcome, true},
+		{"outage", `{"Out":true}`, objects.ErrUnavailable, objects.ErrUnavailable, false},
+		{"over the rate", `{"ReadRate":0.001,"WriteRate":0.001}`, objects.ErrUnavailable, objects.ErrUnavailable, false},
+		{"lost answer", `{"LoseAnswers":1}`, nil, objects.ErrUnknownOutcome, true},
+		{"lost write", `{"LoseWrites":1}`, nil, objects.ErrUnknownOutcome, false},
+		{"slow", `{"Delay":1000000000}`, objects.ErrUnavailable, objects.ErrUnknownOutcome, false},
+		{"slow answer", `{"AnswerDelay":1000000000}`, nil, objects.ErrUnknownOutcome, true},
 	} {
 		tst.Run(tcs.name, func(tst *testing.T) {
 			ckr := qt.New(tst)
@@ -180,12 +180,12 @@
 		read   error
 		write  error
 	}{
-		{"server error", 500, "", platform.ErrUnavailable, platform.ErrUnknownOutcome},
-		{"bad gateway", 502, "", platform.ErrUnavailable, platform.ErrUnknownOutcome},
-		{"success without a version", 200, "", platform.ErrUnavailable, platform.ErrUnknownOutcome},
-		{"success with version 0", 200, `"0"`, platform.ErrUnavailable, platform.ErrUnknownOutcome},
-		{"redirect", 302, "/elsewhere", platform.ErrUnavailable, platform.ErrUnknownOutcome},
-		{"see other", 303, "/elsewhere", platform.ErrUnavailable, platform.ErrUnknownOutcome},
+		{"server error", 500, "", objects.ErrUnavailable, objects.ErrUnknownOutcome},
+		{"bad gateway", 502, "", objects.ErrUnavailable, objects.ErrUnknownOutcome},
+		{"success without a version", 200, "", objects.ErrUnavailable, objects.ErrUnknownOutcome},
+		{"success with version 0", 200, `"0"`, objects.ErrUnavailable, objects.ErrUnknownOutcome},
+		{"redirect", 302, "/elsewhere", objects.ErrUnavailable, objects.ErrUnknownOutcome},
+		{"see other", 303, "/elsewhere", objects.ErrUnavailable, objects.ErrUnknownOutcome},
 	} {
 		tst.Run(tcs.name, func(tst *testing.T) {
 			ckr := qt.New(tst)
@@ -214,7 +214,7 @@
 		})
 	}
 	_, err := client("http://127.0.0.1:1").Put(context.Background(), kind, "one", 0, []byte(`1`))
-	qt.Assert(tst, err, qt.ErrorIs, platform.ErrUnavailable)
+	qt.Assert(tst, err, qt.ErrorIs, objects.ErrUnavailable)
 }
 
 // TestOutageEndsWatch guards against a watch that hangs through an outage or hides it from the watcher.
@@ -230,7 +230,7 @@
 	setFaults(tst, url, `{"Out":true}`)
 	select {
 	case err := <-ended:
-		ckr.Assert(err, qt.ErrorIs, platform.ErrUnavailable)
+		ckr.Assert(err, qt.ErrorIs, objects.ErrUnavailable)
 	case <-time.After(2 * time.Second):
 		ckr.Fatal("the watch goes on")
 	}
--- a/internal/platform/errors.go
+++ b/internal/objects/errors.go
@@ -1,16 +1,16 @@
-package platform
+package objects
 
 import "github.com/juju/errors"
 
 const (
 	// ErrConflict says that the object's version is not the expected one; nothing was written.
-	ErrConflict = errors.ConstError("platform: version conflict")
+	ErrConflict = errors.ConstError("objects: version conflict")
 	// ErrNotFound says that the object does not exist.
-	ErrNotFound = errors.ConstError("platform: object not found")
+	ErrNotFound = errors.ConstError("objects: object not found")
 	// ErrUnavailable says that the platform did not take the call; nothing was written.
-	ErrUnavailable = errors.ConstError("platform: unavailable")
+	ErrUnavailable = errors.ConstError("objects: unavailable")
 	// ErrUnknownOutcome says that a write may or may not have taken effect.
-	ErrUnknownOutcome = errors.ConstError("platform: outcome of the write is unknown")
+	ErrUnknownOutcome = errors.ConstError("objects: outcome of the write is unknown")
 	// ErrTooLarge says that a value exceeds MaxValueSize.
-	ErrTooLarge = errors.ConstError("platform: value too large")
+	ErrTooLarge = errors.ConstError("objects: value too large")
 )
--- a/internal/platform/fuzz_test.go
+++ b/internal/objects/fuzz_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objects_test
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"github.com/juju/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 type answerer func(*http.Request) (*http.Response, error)
@@ -40,22 +40,22 @@
 				Request:    req,
 			}, nil
 		})
-		pst := platform.New("http://platform", &http.Client{Transport: ans}, metrics.NewCounter()).Store()
+		pst := objects.New("http://platform", &http.Client{Transport: ans}, metrics.NewCounter()).Store()
 		ctx := context.Background()
 		if objs, _, err := pst.List(ctx, kind); err == nil {
 			for _, obj := range objs {
 				qt.Check(tst, len(obj.Value) == 0 || json.Valid(obj.Value), qt.IsTrue)
 			}
 		} else {
-			known(tst, err, platform.ErrUnavailable, platform.ErrNotFound, platform.ErrConflict, platform.ErrTooLarge)
+			known(tst, err, objects.ErrUnavailable, objects.ErrNotFound, objects.ErrConflict, objects.ErrTooLarge)
 		}
 		if _, err := pst.VMs(ctx); err != nil {
-			known(tst, err, platform.ErrUnavailable, platform.ErrNotFound, platform.ErrConflict, platform.ErrTooLarge)
+			known(tst, err, objects.ErrUnavailable, objects.ErrNotFound, objects.ErrConflict, objects.ErrTooLarge)
 		}
 		if ver, err := pst.Put(ctx, kind, "one", 0, []byte(`1`)); err == nil {
 			qt.Check(tst, ver > 0 && status < 300, qt.IsTrue)
 		} else if status < 300 {
-			known(tst, err, platform.ErrUnknownOutcome)
+			known(tst, err, objects.ErrUnknownOutcome)
 		}
 	})
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -16,7 +16,7 @@
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/rollout"
 )
 
@@ -39,7 +39,7 @@
 	// Rollout tells where a generation is in force.
 	Rollout func(ctx context.Context, gen uint64) []rollout.Zone
 	// VMs reads the platform's list of VMs anew.
-	VMs func(ctx context.Context) ([]platform.VM, error)
+	VMs func(ctx context.Context) ([]objects.VM, error)
 	// Burn gathers the burn report.
 	Burn func(ctx context.Context) burn.Report
 }
@@ -138,11 +138,11 @@
 
 func errorStatus(err error) int {
 	switch {
-	case errors.Is(err, generation.ErrConflict), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, generation.ErrConflict), errors.Is(err, objects.ErrConflict):
 		return http.StatusConflict
 	case errors.Is(err, generation.ErrNotTried):
 		return http.StatusUnprocessableEntity
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, objects.ErrUnknownOutcome):
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
--- a/internal/probe/prober.go
+++ b/internal/probe/prober.go
@@ -12,7 +12,7 @@
 	"github.com/cumintally/cumintally/internal/backend"
 	"github.com/cumintally/cumintally/internal/evidence"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/zone"
 )
 
@@ -39,7 +39,7 @@
 	clk      clockwork.Clock
 	log      *zap.Logger
 	report   func(ctx context.Context, adr string) (backend.Report, error)
-	vms      func() []platform.VM
+	vms      func() []objects.VM
 
 	slots   chan struct{}
 	retries chan struct{}
@@ -59,7 +59,7 @@
 	mbs *zone.Membership,
 	msh *peer.Mesh,
 	report func(ctx context.Context, adr string) (backend.Report, error),
-	vms func() []platform.VM,
+	vms func() []objects.VM,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *Prober {
@@ -178,7 +178,7 @@
 }
 
 // probe asks a VM for its report and reports whether it gave one.
-func (prb *Prober) probe(ctx context.Context, vmc platform.VM) bool {
+func (prb *Prober) probe(ctx context.Context, vmc objects.VM) bool {
 	ctx, cancel := context.WithTimeout(ctx, 2*prb.interval)
 	defer cancel()
 	asOf := prb.clk.Now()
--- a/internal/probe/prober_test.go
+++ b/internal/probe/prober_test.go
@@ -18,11 +18,11 @@
 	"github.com/cumintally/cumintally/internal/backend"
 	"github.com/cumintally/cumintally/internal/evidence"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/zone"
 )
 
-func newProber(report func(ctx context.Context, adr string) (backend.Report, error), vms []platform.VM) (*Prober, *evidence.Table) {
+func newProber(report func(ctx context.Context, adr string) (backend.Report, error), vms []objects.VM) (*Prober, *evidence.Table) {
 	clk := clockwork.NewRealClock()
 	msh := peer.New(peer.Identity{
 		Name:             "entry-1",
@@ -30,13 +30,13 @@
 	}, []byte("key"), metrics.NewRegistry(), zap.NewNop())
 	mbs := zone.New(msh, func() []string { return nil }, clk, zap.NewNop())
 	tab := evidence.New(time.Second)
-	return New(10*time.Millisecond, tab, mbs, msh, report, func() []platform.VM { return vms }, clk, zap.NewNop()), tab
+	return New(10*time.Millisecond, tab, mbs, msh, report, func() []objects.VM { return vms }, clk, zap.NewNop()), tab
 }
 
-func machines(num int, adr string) []platform.VM {
-	var vms []platform.VM
+func machines(num int, adr string) []objects.VM {
+	var vms []objects.VM
 	for idx := range num {
-		vms = append(vms, platform.VM{
+		vms = append(vms, objects.VM{
 			Name:    fmt.Sprintf("vm-%d", idx),
 			Address: adr,
 		})
@@ -132,7 +132,7 @@
 		return backend.Report{VM: "vm-0"}, nil
 	}, nil)
 	before := time.Now()
-	prb.probe(tst.Context(), platform.VM{Name: "vm-0"})
+	prb.probe(tst.Context(), objects.VM{Name: "vm-0"})
 	ent, ok := tab.Lookup("vm-0")
 	qt.Assert(tst, ok, qt.IsTrue)
 	qt.Assert(tst, ent.AsOf.Sub(before) < 10*time.Millisecond, qt.IsTrue)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -6,7 +6,7 @@
 
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/survey"
 )
 
@@ -27,7 +27,7 @@
 }
 
 // New returns a rollout over the entry VMs that vms returns, and answers such questions of others.
-func New(msh *peer.Mesh, sto *generation.Store, vms func() []platform.VM) *Rollout {
+func New(msh *peer.Mesh, sto *generation.Store, vms func() []objects.VM) *Rollout {
 	own := func() uint64 { return sto.InForce().Generation }
 	return &Rollout{
 		sur: survey.New("InForce", msh, vms, own),
--- a/internal/servicecall/caller.go
+++ b/internal/servicecall/caller.go
@@ -15,7 +15,7 @@
 
 	"github.com/cumintally/cumintally/internal/backend"
 	"github.com/cumintally/cumintally/internal/booking"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/refusal"
 	"github.com/cumintally/cumintally/pkg/document"
 )
@@ -69,13 +69,13 @@
 	wak     *wakefulness
 	clk     clockwork.Clock
 	log     *zap.Logger
-	vms     func() []platform.VM
+	vms     func() []objects.VM
 	inForce func() *document.Document
 }
 
 // New returns a caller that prefers backend servers of the given availability zone; vms returns the VMs
 // that may get work.
-func New(zone string, led Ledger, vms func() []platform.VM, inForce func() *document.Document, clk clockwork.Clock, log *zap.Logger) *Caller {
+func New(zone string, led Ledger, vms func() []objects.VM, inForce func() *document.Document, clk clockwork.Clock, log *zap.Logger) *Caller {
 	cal := &Caller{
 		Dial: (&net.Dialer{}).DialContext,
 		zone: zone,
@@ -204,8 +204,8 @@
 	return errors.Errorf("%s is no longer in service", adr)
 }
 
-func takesCalls(vmc platform.VM, service string) bool {
-	return vmc.Role == platform.RoleService && vmc.Service == service && vmc.State == platform.VMLive
+func takesCalls(vmc objects.VM, service string) bool {
+	return vmc.Role == objects.RoleService && vmc.Service == service && vmc.State == objects.VMLive
 }
 
 // addresses returns up to maxAttempts backend servers of a service, those of the own zone first, else in
@@ -214,7 +214,7 @@
 	var near, far []string
 	listed := map[string]bool{}
 	for _, vmc := range cal.vms() {
-		if vmc.Role == platform.RoleService {
+		if vmc.Role == objects.RoleService {
 			listed[vmc.Address] = true
 		}
 		if !takesCalls(vmc, service) {
--- a/internal/servicecall/caller_test.go
+++ b/internal/servicecall/caller_test.go
@@ -18,7 +18,7 @@
 	"go.uber.org/zap/zaptest"
 
 	"github.com/cumintally/cumintally/internal/booking"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/refusal"
 	"github.com/cumintally/cumintally/pkg/document"
 )
@@ -48,13 +48,13 @@
 	return bes
 }
 
-func (bes *backendServer) vm() platform.VM {
-	return platform.VM{
+func (bes *backendServer) vm() objects.VM {
+	return objects.VM{
 		AvailabilityZone: "zone-1",
-		Role:             platform.RoleService,
+		Role:             objects.RoleService,
 		Service:          "jobs",
 		Address:          strings.TrimPrefix(bes.URL, "http://"),
-		State:            platform.VMLive,
+		State:            objects.VMLive,
 	}
 }
 
@@ -62,13 +62,13 @@
 type fixture struct {
 	cal      *Caller
 	mu       sync.Mutex
-	vms      []platform.VM
+	vms      []objects.VM
 	reserve  func() (booking.Reservation, error)
 	finished []booking.Result
 	released int
 }
 
-func newFixture(t *testing.T, clk clockwork.Clock, vms ...platform.VM) *fixture {
+func newFixture(t *testing.T, clk clockwork.Clock, vms ...objects.VM) *fixture {
 	t.Helper()
 	fix := &fixture{
 		vms:     vms,
@@ -94,13 +94,13 @@
 	return fix
 }
 
-func (fix *fixture) list() []platform.VM {
+func (fix *fixture) list() []objects.VM {
 	fix.mu.Lock()
 	defer fix.mu.Unlock()
 	return fix.vms
 }
 
-func (fix *fixture) set(vms ...platform.VM) {
+func (fix *fixture) set(vms ...objects.VM) {
 	fix.mu.Lock()
 	defer fix.mu.Unlock()
 	fix.vms = vms
@@ -181,12 +181,12 @@
 	c := qt.New(t)
 	lst, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	gone := platform.VM{
+	gone := objects.VM{
 		AvailabilityZone: "zone-1",
-		Role:             platform.RoleService,
+		Role:             objects.RoleService,
 		Service:          "jobs",
 		Address:          lst.Addr().String(),
-		State:            platform.VMLive,
+		State:            objects.VMLive,
 	}
 	lst.Close()
 	fix := newFixture(t, clockwork.NewRealClock(), gone)
@@ -217,7 +217,7 @@
 		{"caller gone", func(_ *fixture, _ *clockwork.FakeClock, cancel context.CancelFunc) { cancel() }},
 		{"server leaving", func(fix *fixture, _ *clockwork.FakeClock, _ context.CancelFunc) {
 			vmc := fix.list()[0]
-			vmc.State = platform.VMLeaving
+			vmc.State = objects.VMLeaving
 			fix.set(vmc)
 		}},
 		{"server not listed", func(fix *fixture, _ *clockwork.FakeClock, _ context.CancelFunc) { fix.set() }},
--- a/internal/standin/capacity/measurement.go
+++ b/internal/standin/capacity/measurement.go
@@ -10,7 +10,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/standin/engine"
 	"github.com/cumintally/cumintally/internal/standin/fleet"
 )
@@ -168,13 +168,13 @@
 		}
 		srvs = append(srvs, srv)
 		go func() { _ = srv.Serve(lst) }()
-		if err := flt.List(ctx, platform.VM{
+		if err := flt.List(ctx, objects.VM{
 			Name:             name,
 			AvailabilityZone: zoneName,
 			FabricDomain:     fmt.Sprintf("fabric-%d", idx/vmsPerDomain),
-			Role:             platform.RoleEngine,
+			Role:             objects.RoleEngine,
 			Address:          lst.Addr().String(),
-			State:            platform.VMLive,
+			State:            objects.VMLive,
 			Accelerators:     8,
 		}); err != nil {
 			return stop, errors.Trace(err)
--- a/internal/standin/embedded/environment.go
+++ b/internal/standin/embedded/environment.go
@@ -10,7 +10,7 @@
 
 	"github.com/juju/errors"
 
-	contract "github.com/cumintally/cumintally/internal/platform"
+	contract "github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/standin/engine"
 	"github.com/cumintally/cumintally/internal/standin/platform"
 	"github.com/cumintally/cumintally/internal/standin/service"
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -15,7 +15,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 // Keys that the fleet's daemons and its callers use.
@@ -178,13 +178,13 @@
 				Domain:     domain,
 				Advertised: adr,
 			})
-			if err := flt.List(ctx, platform.VM{
+			if err := flt.List(ctx, objects.VM{
 				Name:             name,
 				AvailabilityZone: zon,
 				FabricDomain:     domain,
-				Role:             platform.RoleEngine,
+				Role:             objects.RoleEngine,
 				Address:          adr,
-				State:            platform.VMLive,
+				State:            objects.VMLive,
 				Accelerators:     8,
 			}); err != nil {
 				return errors.Trace(err)
@@ -202,13 +202,13 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		if err := flt.List(ctx, platform.VM{
+		if err := flt.List(ctx, objects.VM{
 			Name:             name,
 			AvailabilityZone: zon,
-			Role:             platform.RoleService,
+			Role:             objects.RoleService,
 			Service:          flt.cfg.Service,
 			Address:          adr,
-			State:            platform.VMLive,
+			State:            objects.VMLive,
 		}); err != nil {
 			return errors.Trace(err)
 		}
@@ -252,12 +252,12 @@
 		Peers:     advertised,
 		IP:        source,
 	})
-	return flt.List(ctx, platform.VM{
+	return flt.List(ctx, objects.VM{
 		Name:             name,
 		AvailabilityZone: zon,
-		Role:             platform.RoleEntry,
+		Role:             objects.RoleEntry,
 		Address:          advertised,
-		State:            platform.VMLive,
+		State:            objects.VMLive,
 	})
 }
 
@@ -280,7 +280,7 @@
 }
 
 // List puts a VM on the platform's list.
-func (flt *Fleet) List(ctx context.Context, vmc platform.VM) error {
+func (flt *Fleet) List(ctx context.Context, vmc objects.VM) error {
 	return send(ctx, http.MethodPut, "http://"+flt.Platform.Address+"/vms/"+vmc.Name, vmc)
 }
 
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -14,7 +14,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/time/rate"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/standin/fault"
 )
 
@@ -74,7 +74,7 @@
 }
 
 func (plt *Platform) putVM(rsw http.ResponseWriter, req *http.Request) {
-	var vmc platform.VM
+	var vmc objects.VM
 	if err := json.NewDecoder(req.Body).Decode(&vmc); err != nil {
 		http.Error(rsw, err.Error(), http.StatusBadRequest)
 		return
@@ -108,7 +108,7 @@
 }
 
 func (plt *Platform) list(rsw http.ResponseWriter, req *http.Request) {
-	var objs []platform.Object
+	var objs []objects.Object
 	var rev uint64
 	if req.URL.Query().Get("watch") == "" {
 		objs, rev, _ = plt.sto.list(req.Context(), param(req, "kind"))
@@ -139,7 +139,7 @@
 }
 
 // watch waits for changes; it returns false if an outage began meanwhile.
-func (plt *Platform) watch(req *http.Request, kind string, since uint64) ([]platform.Object, uint64, bool) {
+func (plt *Platform) watch(req *http.Request, kind string, since uint64) ([]objects.Object, uint64, bool) {
 	ctx, cancel := context.WithTimeout(req.Context(), watchTime)
 	defer cancel()
 	plt.mu.Lock()
@@ -175,8 +175,8 @@
 }
 
 func (plt *Platform) put(rsw http.ResponseWriter, req *http.Request) {
-	val, err := io.ReadAll(io.LimitReader(req.Body, platform.MaxValueSize+1))
-	if err != nil || (len(val) <= platform.MaxValueSize && !json.Valid(val)) {
+	val, err := io.ReadAll(io.LimitReader(req.Body, objects.MaxValueSize+1))
+	if err != nil || (len(val) <= objects.MaxValueSize && !json.Valid(val)) {
 		http.Error(rsw, "the value is not JSON", http.StatusBadRequest)
 		return
 	}
@@ -220,11 +220,11 @@
 func fail(rsw http.ResponseWriter, err error) {
 	status := http.StatusInternalServerError
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objects.ErrNotFound):
 		status = http.StatusNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objects.ErrConflict):
 		status = http.StatusPreconditionFailed
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objects.ErrTooLarge):
 		status = http.StatusRequestEntityTooLarge
 	}
 	http.Error(rsw, err.Error(), status)
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -17,7 +17,7 @@
 	"github.com/juju/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 func serve(tst *testing.T, cfg Config) (*Platform, *httptest.Server) {
@@ -34,7 +34,7 @@
 func TestCalls(tst *testing.T) {
 	ckr := qt.New(tst)
 	plt, srv := serve(tst, Config{WriteRate: 1})
-	pst := platform.New(srv.URL, srv.Client(), metrics.NewCounter()).Store()
+	pst := objects.New(srv.URL, srv.Client(), metrics.NewCounter()).Store()
 	ctx := context.Background()
 	for range 3 {
 		_, _ = pst.Put(ctx, "Lease", "one", 0, []byte(`1`))
@@ -62,8 +62,8 @@
 func TestVMLag(tst *testing.T) {
 	ckr := qt.New(tst)
 	plt, srv := serve(tst, Config{VMLag: 100 * time.Millisecond})
-	pst := platform.New(srv.URL, srv.Client(), metrics.NewCounter()).Store()
-	plt.sto.SetVM(platform.VM{Name: "one"})
+	pst := objects.New(srv.URL, srv.Client(), metrics.NewCounter()).Store()
+	plt.sto.SetVM(objects.VM{Name: "one"})
 	vms, err := pst.VMs(context.Background())
 	ckr.Assert(err, qt.IsNil)
 	ckr.Assert(vms, qt.HasLen, 0)
@@ -128,10 +128,10 @@
 
 // historian is one client that calls at random and records its calls.
 type historian struct {
-	pst  platform.Store
+	pst  objects.Store
 	idn  int
 	rng  *rand.Rand
-	last map[string]platform.Object
+	last map[string]objects.Object
 	hist []porcupine.Operation
 }
 
@@ -156,21 +156,21 @@
 		out.value = string(obj.Value)
 	case obj.Version > 0 && hsn.rng.IntN(4) == 0:
 		err = hsn.pst.Delete(ctx, "Lease", name, obj.Version)
-		obj = platform.Object{}
+		obj = objects.Object{}
 	default:
 		inp.value = fmt.Sprintf(`"%d-%d"`, hsn.idn, idx)
 		obj.Version, err = hsn.pst.Put(ctx, "Lease", name, obj.Version, []byte(inp.value))
 		obj.Value = []byte(inp.value)
 	}
 	opn.Return = time.Since(start).Nanoseconds()
-	if errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, objects.ErrUnknownOutcome) {
 		out.unknown = true
 		// The write may take effect at any later time.
 		opn.Return = time.Hour.Nanoseconds()
 	}
-	out.conflict = errors.Is(err, platform.ErrConflict)
+	out.conflict = errors.Is(err, objects.ErrConflict)
 	if err != nil {
-		obj = platform.Object{}
+		obj = objects.Object{}
 	}
 	hsn.last[name] = obj
 	opn.Input, opn.Output = inp, out
@@ -191,10 +191,10 @@
 	for idn := range 6 {
 		wgr.Go(func() {
 			hsn := &historian{
-				pst:  platform.New(srv.URL, &http.Client{Transport: &http.Transport{}}, metrics.NewCounter()).Store(),
+				pst:  objects.New(srv.URL, &http.Client{Transport: &http.Transport{}}, metrics.NewCounter()).Store(),
 				idn:  idn,
 				rng:  rand.New(rand.NewPCG(seed, uint64(idn))),
-				last: map[string]platform.Object{},
+				last: map[string]objects.Object{},
 			}
 			for idx := range 60 {
 				hsn.call(start, idx)
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -6,23 +6,23 @@
 	"sync"
 	"time"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 // Store keeps the objects in memory; Platform serves it over HTTP.
 type Store struct {
 	mu       sync.Mutex
 	revision uint64
-	objects  map[string]map[string]platform.Object
+	objects  map[string]map[string]objects.Object
 	changed  chan struct{}
-	vms      map[string]platform.VM
+	vms      map[string]objects.VM
 	// lists are the lists of VMs of the last while, the newest last.
 	lists []vmList
 }
 
 type vmList struct {
 	at  time.Time
-	vms []platform.VM
+	vms []objects.VM
 }
 
 // maxVMLag is the time for which former lists of VMs are kept.
@@ -31,15 +31,15 @@
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
-		objects: map[string]map[string]platform.Object{},
+		objects: map[string]map[string]objects.Object{},
 		changed: make(chan struct{}),
-		vms:     map[string]platform.VM{},
+		vms:     map[string]objects.VM{},
 	}
 }
 
 // Platform returns the store's calls as the system's processes see them.
-func (sto *Store) Platform() platform.Store {
-	return platform.Store{
+func (sto *Store) Platform() objects.Store {
+	return objects.Store{
 		Get:    sto.get,
 		List:   sto.list,
 		Put:    sto.put,
@@ -49,20 +49,20 @@
 	}
 }
 
-func (sto *Store) get(_ context.Context, kind, name string) (platform.Object, error) {
+func (sto *Store) get(_ context.Context, kind, name string) (objects.Object, error) {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	obj, ok := sto.objects[kind][name]
 	if !ok || obj.Deleted {
-		return platform.Object{}, platform.ErrNotFound
+		return objects.Object{}, objects.ErrNotFound
 	}
 	return obj, nil
 }
 
-func (sto *Store) list(_ context.Context, kind string) ([]platform.Object, uint64, error) {
+func (sto *Store) list(_ context.Context, kind string) ([]objects.Object, uint64, error) {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
-	var objs []platform.Object
+	var objs []objects.Object
 	for _, obj := range sto.objects[kind] {
 		if !obj.Deleted {
 			objs = append(objs, obj)
@@ -73,8 +73,8 @@
 }
 
 func (sto *Store) put(_ context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
-	if len(value) > platform.MaxValueSize {
-		return 0, platform.ErrTooLarge
+	if len(value) > objects.MaxValueSize {
+		return 0, objects.ErrTooLarge
 	}
 	return sto.write(kind, name, expected, append([]byte(nil), value...), false)
 }
@@ -93,13 +93,13 @@
 		present = 0
 	}
 	if present != expected {
-		return 0, platform.ErrConflict
+		return 0, objects.ErrConflict
 	}
 	sto.revision++
 	if sto.objects[kind] == nil {
-		sto.objects[kind] = map[string]platform.Object{}
+		sto.objects[kind] = map[string]objects.Object{}
 	}
-	sto.objects[kind][name] = platform.Object{
+	sto.objects[kind][name] = objects.Object{
 		Kind:    kind,
 		Name:    name,
 		Version: sto.revision,
@@ -112,10 +112,10 @@
 }
 
 // watch returns changes after since, or none when ctx ends first.
-func (sto *Store) watch(ctx context.Context, kind string, since uint64) ([]platform.Object, uint64, error) {
+func (sto *Store) watch(ctx context.Context, kind string, since uint64) ([]objects.Object, uint64, error) {
 	for {
 		sto.mu.Lock()
-		var objs []platform.Object
+		var objs []objects.Object
 		for _, obj := range sto.objects[kind] {
 			if obj.Version > since {
 				objs = append(objs, obj)
@@ -136,17 +136,17 @@
 	}
 }
 
-func (sto *Store) listVMs(context.Context) ([]platform.VM, error) {
+func (sto *Store) listVMs(context.Context) ([]objects.VM, error) {
 	return sto.vmsAt(time.Now()), nil
 }
 
 // vmsAt returns the list of VMs as it was at a time, or the oldest one kept.
-func (sto *Store) vmsAt(when time.Time) []platform.VM {
+func (sto *Store) vmsAt(when time.Time) []objects.VM {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	idx := sort.Search(len(sto.lists), func(idx int) bool { return sto.lists[idx].at.After(when) })
 	if idx == 0 {
-		return []platform.VM{}
+		return []objects.VM{}
 	}
 	return sto.lists[idx-1].vms
 }
@@ -163,7 +163,7 @@
 }
 
 // SetVM adds a VM to the list or replaces its entry.
-func (sto *Store) SetVM(vmc platform.VM) {
+func (sto *Store) SetVM(vmc objects.VM) {
 	sto.mu.Lock()
 	defer sto.mu.Unlock()
 	sto.vms[vmc.Name] = vmc
@@ -179,7 +179,7 @@
 }
 
 func (sto *Store) keepList() {
-	vms := make([]platform.VM, 0, len(sto.vms))
+	vms := make([]objects.VM, 0, len(sto.vms))
 	for _, vmc := range sto.vms {
 		vms = append(vms, vmc)
 	}
--- a/internal/survey/survey.go
+++ b/internal/survey/survey.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 const (
@@ -20,19 +20,19 @@
 type Survey[T any] struct {
 	kind string
 	msh  *peer.Mesh
-	vms  func() []platform.VM
+	vms  func() []objects.VM
 	own  func() T
 }
 
 // Answer is what one daemon answered, or why it did not.
 type Answer[T any] struct {
-	VM    platform.VM
+	VM    objects.VM
 	Value T
 	Err   error
 }
 
 // New returns a survey of the entry VMs that vms returns; own is this daemon's answer.
-func New[T any](kind string, msh *peer.Mesh, vms func() []platform.VM, own func() T) *Survey[T] {
+func New[T any](kind string, msh *peer.Mesh, vms func() []objects.VM, own func() T) *Survey[T] {
 	msh.Handle(kind, func(context.Context, peer.Identity, []byte) (any, error) {
 		return own(), nil
 	})
@@ -51,7 +51,7 @@
 	var wgr sync.WaitGroup
 	slots := make(chan struct{}, limit)
 	for _, vmc := range sur.vms() {
-		if vmc.Role != platform.RoleEntry {
+		if vmc.Role != objects.RoleEntry {
 			continue
 		}
 		slots <- struct{}{}
@@ -71,7 +71,7 @@
 	return anss
 }
 
-func (sur *Survey[T]) ask(ctx context.Context, vmc platform.VM) (T, error) {
+func (sur *Survey[T]) ask(ctx context.Context, vmc objects.VM) (T, error) {
 	if vmc.Name == sur.msh.Self().Name {
 		return sur.own(), nil
 	}
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -5,12 +5,12 @@
 
 	"github.com/cumintally/cumintally/internal/generation"
 	"github.com/cumintally/cumintally/internal/group"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/pkg/document"
 )
 
 // Run returns a result for each part of a document, in the order of its parts.
-func Run(doc *document.Document, vms []platform.VM) []generation.PartResult {
+func Run(doc *document.Document, vms []objects.VM) []generation.PartResult {
 	reasons := map[string]string{}
 	for _, azn := range doc.AvailabilityZones {
 		planZone(doc, azn.Name, vms, reasons)
@@ -32,13 +32,13 @@
 }
 
 // planZone plans a zone from nothing and notes the groups that find no VMs.
-func planZone(doc *document.Document, zone string, vms []platform.VM, reasons map[string]string) {
+func planZone(doc *document.Document, zone string, vms []objects.VM, reasons map[string]string) {
 	viw := group.View{
 		AvailabilityZone: zone,
 		Document:         doc,
 	}
 	for _, vmc := range vms {
-		if vmc.Role != platform.RoleEngine || vmc.AvailabilityZone != zone || vmc.State != platform.VMLive {
+		if vmc.Role != objects.RoleEngine || vmc.AvailabilityZone != zone || vmc.State != objects.VMLive {
 			continue
 		}
 		viw.VMs = append(viw.VMs, group.VMView{
@@ -62,9 +62,9 @@
 	}
 }
 
-func hasService(name string, vms []platform.VM) bool {
+func hasService(name string, vms []objects.VM) bool {
 	for _, vmc := range vms {
-		if vmc.Role == platform.RoleService && vmc.Service == name && vmc.State == platform.VMLive {
+		if vmc.Role == objects.RoleService && vmc.Service == name && vmc.State == objects.VMLive {
 			return true
 		}
 	}
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/trial"
 	"github.com/cumintally/cumintally/pkg/document"
 )
@@ -19,22 +19,22 @@
 	c.Assert(err, qt.IsNil)
 	doc, err := document.Parse("example", data)
 	c.Assert(err, qt.IsNil)
-	vms := []platform.VM{
+	vms := []objects.VM{
 		{
 			Name:    "jobs-1",
-			Role:    platform.RoleService,
+			Role:    objects.RoleService,
 			Service: "jobs",
-			State:   platform.VMLive,
+			State:   objects.VMLive,
 		},
 	}
 	for zon := 1; zon <= 3; zon++ {
 		for idx := range 8 {
-			vms = append(vms, platform.VM{
+			vms = append(vms, objects.VM{
 				Name:             fmt.Sprintf("vm-%d-%d", zon, idx),
 				AvailabilityZone: fmt.Sprintf("reykjanes-%d", zon),
 				FabricDomain:     fmt.Sprintf("fabric-%d-%d", zon, idx/4),
-				Role:             platform.RoleEngine,
-				State:            platform.VMLive,
+				Role:             objects.RoleEngine,
+				State:            objects.VMLive,
 			})
 		}
 	}
@@ -42,13 +42,13 @@
 
 	c.Assert(failures(doc, vms[1:])["Services/jobs"], qt.Equals, "no VM of the service is listed")
 
-	short := append([]platform.VM(nil), vms[:len(vms)-1]...)
+	short := append([]objects.VM(nil), vms[:len(vms)-1]...)
 	c.Assert(failures(doc, short)["Groups/recipes-3"], qt.Matches, "recipes-3/.*")
 
 	c.Assert(failures(doc, vms[:9])["Groups/recipes-2"], qt.Equals, "no VM of the availability zone is listed")
 }
 
-func failures(doc *document.Document, vms []platform.VM) map[string]string {
+func failures(doc *document.Document, vms []objects.VM) map[string]string {
 	fails := map[string]string{}
 	for _, res := range trial.Run(doc, vms) {
 		if !res.Passed {
--- a/internal/zoneorder/orders.go
+++ b/internal/zoneorder/orders.go
@@ -14,7 +14,7 @@
 
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 // Kind is the kind of the frames by which daemons exchange the state of a zone.
@@ -43,14 +43,14 @@
 type Orders struct {
 	zone string
 	sea  Seams
-	pst  platform.Store
+	pst  objects.Store
 	inv  *inventory.Inventory
 	clk  clockwork.Clock
 	log  *zap.Logger
 }
 
 // New returns the orders of a daemon in zone.
-func New(zone string, sea Seams, pst platform.Store, inv *inventory.Inventory, clk clockwork.Clock, log *zap.Logger) *Orders {
+func New(zone string, sea Seams, pst objects.Store, inv *inventory.Inventory, clk clockwork.Clock, log *zap.Logger) *Orders {
 	return &Orders{
 		zone: zone,
 		sea:  sea,
@@ -62,7 +62,7 @@
 }
 
 // Order takes a zone out of service or returns it. An order that another one overtook fails with
-// platform.ErrConflict.
+// objects.ErrConflict.
 func (ord *Orders) Order(ctx context.Context, name string, out bool) (inventory.Zone, error) {
 	next := inventory.Zone{
 		Name:   name,
@@ -73,11 +73,11 @@
 	switch {
 	case err == nil:
 		ord.inv.SetWrittenZone(zon)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objects.ErrConflict):
 		return ord.inv.Zone(name), errors.Trace(err)
 	case name != ord.zone:
 		return ord.inv.Zone(name), errors.Annotatef(err, "give the order to an entry VM of zone %s", name)
-	case !errors.Is(err, platform.ErrUnknownOutcome):
+	case !errors.Is(err, objects.ErrUnknownOutcome):
 		zon = ord.inv.OrderZone(name, out, next.Writer)
 	case ord.inv.Zone(name).Version >= zon.Version:
 		return ord.inv.Zone(name), errors.Trace(err)
@@ -110,8 +110,8 @@
 // read returns the state of a zone in the platform and its object's version, 0 if there is none.
 func (ord *Orders) read(ctx context.Context, name string) (inventory.Zone, uint64, error) {
 	var zon inventory.Zone
-	obj, err := ord.pst.Get(ctx, platform.KindZone, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	obj, err := ord.pst.Get(ctx, objects.KindZone, name)
+	if errors.Is(err, objects.ErrNotFound) {
 		return zon, 0, nil
 	}
 	if err != nil {
@@ -129,8 +129,8 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	_, err = ord.pst.Put(ctx, platform.KindZone, zon.Name, expected, val)
-	if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknownOutcome) {
+	_, err = ord.pst.Put(ctx, objects.KindZone, zon.Name, expected, val)
+	if !errors.Is(err, objects.ErrConflict) && !errors.Is(err, objects.ErrUnknownOutcome) {
 		return errors.Trace(err)
 	}
 	// The zone's writer token tells whether the write took effect.
@@ -150,7 +150,7 @@
 	if held.Out {
 		state = "out of"
 	}
-	return errors.Annotatef(platform.ErrConflict, "another order, version %d, holds zone %s %s service", held.Version, held.Name, state)
+	return errors.Annotatef(objects.ErrConflict, "another order, version %d, holds zone %s %s service", held.Version, held.Name, state)
 }
 
 // spread hands a state to the daemons of this zone and of the zone that it is about, and takes what they
--- a/internal/zoneorder/orders_test.go
+++ b/internal/zoneorder/orders_test.go
@@ -17,7 +17,7 @@
 
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/peer"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	standin "github.com/cumintally/cumintally/internal/standin/platform"
 )
 
@@ -41,7 +41,7 @@
 // network is a set of daemons in two zones; a zone that is cut off reaches neither the platform nor the
 // other zone.
 type network struct {
-	pst     platform.Store
+	pst     objects.Store
 	daemons []*daemon
 }
 
@@ -127,24 +127,24 @@
 }
 
 // store is the platform as one daemon reaches it.
-func (net *network) store(dmn *daemon) platform.Store {
+func (net *network) store(dmn *daemon) objects.Store {
 	pst := net.pst
-	pst.Get = func(ctx context.Context, kind, name string) (platform.Object, error) {
+	pst.Get = func(ctx context.Context, kind, name string) (objects.Object, error) {
 		if dmn.isCut() {
-			return platform.Object{}, platform.ErrUnavailable
+			return objects.Object{}, objects.ErrUnavailable
 		}
 		return net.pst.Get(ctx, kind, name)
 	}
 	pst.Put = func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
 		if dmn.isCut() {
-			return 0, platform.ErrUnavailable
+			return 0, objects.ErrUnavailable
 		}
 		ver, err := net.pst.Put(ctx, kind, name, expected, value)
 		dmn.mu.Lock()
 		defer dmn.mu.Unlock()
 		if dmn.loseNext {
 			dmn.loseNext = false
-			return 0, platform.ErrUnknownOutcome
+			return 0, objects.ErrUnknownOutcome
 		}
 		return ver, err
 	}
@@ -158,7 +158,7 @@
 	for range 200 {
 		for _, dmn := range net.daemons {
 			dmn.ord.turn(ctx)
-			if obj, err := net.pst.Get(ctx, platform.KindZone, own); err == nil {
+			if obj, err := net.pst.Get(ctx, objects.KindZone, own); err == nil {
 				dmn.inv.TakeZone(ctx, obj)
 			}
 		}
@@ -244,7 +244,7 @@
 			wgr.Wait()
 			out := net.daemons[2].inv.Zone(own)
 			for idx, err := range errs {
-				qt.Assert(tst, err == nil || errors.Is(err, platform.ErrConflict), qt.IsTrue, qt.Commentf("%v", err))
+				qt.Assert(tst, err == nil || errors.Is(err, objects.ErrConflict), qt.IsTrue, qt.Commentf("%v", err))
 				// An order may be accepted and then be replaced by a later one, but not by one of its own version.
 				if err == nil && out.Version == 1 {
 					qt.Assert(tst, out.Out, qt.Equals, idx == 0, qt.Commentf("cut off: %v", cut))
@@ -261,7 +261,7 @@
 	net := newNetwork(own, other)
 	net.cut(other, true)
 	_, err := net.daemons[1].ord.Order(tst.Context(), own, true)
-	qt.Assert(tst, err, qt.ErrorIs, platform.ErrUnavailable)
+	qt.Assert(tst, err, qt.ErrorIs, objects.ErrUnavailable)
 	qt.Assert(tst, net.daemons[0].inv.Zone(own).Out, qt.IsFalse)
 	qt.Assert(tst, net.daemons[1].inv.Zone(own).Out, qt.IsFalse)
 }
--- a/test/bookings/stops_test.go
+++ b/test/bookings/stops_test.go
@@ -13,7 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/standin/fleet"
 	"github.com/cumintally/cumintally/internal/standin/service"
 )
@@ -55,13 +55,13 @@
 	}
 	c.Assert(flt.Entries[0].Signal(syscall.SIGSTOP), qt.IsNil)
 	c.Assert(flt.SetFaults(ctx, said, service.Faults{Leaving: true}), qt.IsNil)
-	c.Assert(flt.List(ctx, platform.VM{
+	c.Assert(flt.List(ctx, objects.VM{
 		Name:             listed.Name,
 		AvailabilityZone: "zone-2",
-		Role:             platform.RoleService,
+		Role:             objects.RoleService,
 		Service:          "jobs",
 		Address:          listed.Address,
-		State:            platform.VMLeaving,
+		State:            objects.VMLeaving,
 	}), qt.IsNil)
 	time.Sleep(leavingBound)
 	before := []int{runsAt(ctx, c, said), runsAt(ctx, c, listed)}
--- a/test/groups/groups_test.go
+++ b/test/groups/groups_test.go
@@ -17,7 +17,7 @@
 	"github.com/cumintally/cumintally/internal/backend"
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/inventory"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/standin/engine"
 	"github.com/cumintally/cumintally/internal/standin/fleet"
 	standin "github.com/cumintally/cumintally/internal/standin/platform"
@@ -140,12 +140,12 @@
 	qt.Assert(tst, fleet.WaitServing(ctx, other, 1), qt.IsNil)
 	after := members(ctx, tst, other, "a/0")
 	var before group.Allocation
-	object(ctx, tst, flt, platform.KindAllocation, zoneName+"-fabric-1", &before)
+	object(ctx, tst, flt, objects.KindAllocation, zoneName+"-fabric-1", &before)
 	qt.Assert(tst, old.Signal(syscall.SIGCONT), qt.IsNil)
 	wat.pause(old.Name, false)
 	time.Sleep(5 * time.Second)
 	var now group.Allocation
-	object(ctx, tst, flt, platform.KindAllocation, zoneName+"-fabric-1", &now)
+	object(ctx, tst, flt, objects.KindAllocation, zoneName+"-fabric-1", &now)
 	qt.Assert(tst, now.Counter, qt.Equals, before.Counter)
 	for _, ent := range flt.Entries {
 		qt.Assert(tst, fleet.WaitServing(ctx, ent, 1), qt.IsNil)
@@ -204,7 +204,7 @@
 				return false
 			}
 			req.Body.Close()
-			object(ctx, tst, flt, platform.KindZone, zoneName, &held)
+			object(ctx, tst, flt, objects.KindZone, zoneName, &held)
 			return held == zon
 		})
 		fmt.Printf("figure test=zone-order written-after=%.1fs\n", written.Seconds())
--- a/test/groups/watch_test.go
+++ b/test/groups/watch_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/cumintally/cumintally/internal/lease"
 	"github.com/cumintally/cumintally/internal/operator"
-	"github.com/cumintally/cumintally/internal/platform"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/standin/fleet"
 )
 
@@ -247,7 +247,7 @@
 func holder(ctx context.Context, tst *testing.T, flt *fleet.Fleet) *fleet.Entry {
 	tst.Helper()
 	var rec lease.Record
-	object(ctx, tst, flt, platform.KindLease, zoneName, &rec)
+	object(ctx, tst, flt, objects.KindLease, zoneName, &rec)
 	for _, ent := range flt.Entries {
 		if ent.Name == rec.Holder {
 			return ent
