--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/objects"
 )
 
@@ -140,7 +141,7 @@
 	if fol.lost.IsZero() {
 		fol.lost = fol.clk.Now()
 		fol.log.Warn("the store does not answer; the last copy stays in use",
-			zap.String("kind", fol.cfg.Kind), zap.Time("lastAnswer", fol.heard), zap.Error(err))
+			zap.String("kind", fol.cfg.Kind), zap.Time("lastAnswer", fol.heard), logging.Error(err))
 	}
 }
 
--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cumintally/cumintally/internal/group"
@@ -14,8 +15,10 @@
 	// finishFor is the time for which a closing group may complete its work before it is cut off: about that of a
 	// long answer, and less than a VM that is leaving stays.
 	finishFor = 6 * time.Second
-	// stagesAtOnce bounds the loads of weights that are started ahead of need in one step.
-	stagesAtOnce = 2
+	// loadBurst is the number of loads ahead of need that may start at once.
+	loadBurst = 2
+	// stageAgain is the time after which weights that a host does not hold are loaded anew: longer than a load.
+	stageAgain = 40 * time.Second
 )
 
 // View is what the orders follow from.
@@ -23,8 +26,28 @@
 	Service     string
 	Roster      *roster.View
 	Allocations []group.Allocation
-	// Stage holds the models whose weights spare VMs should hold, by VM.
-	Stage map[string]string
+	// Spares holds what VMs without a group should hold ready, by VM.
+	Spares map[string]Standby
+	// Stages holds the models whose weights hosts should hold, by VM.
+	Stages map[string]string
+	// LoadRate is the number of loads ahead of need that may start per second.
+	LoadRate float64
+}
+
+// Standby is what a spare VM holds ready.
+type Standby struct {
+	Model string
+	// Epoch is the latest epoch of the VM's domain, so that any later group has a higher one.
+	Epoch uint64
+}
+
+// standbyPrefix starts the name of the group that a spare VM forms by itself. It is never opened; a VM in it
+// holds the weights in memory, so that it joins a group of the model in a fraction of the time.
+const standbyPrefix = "standby-"
+
+// IsStandby reports whether a VM is a spare that holds weights ready.
+func IsStandby(srv *roster.Server) bool {
+	return srv.Place.State != roster.Alone && srv.Place.Group == standbyPrefix+srv.ID
 }
 
 // Formation gives the orders of one controller.
@@ -32,8 +55,13 @@
 	// stall is the time for which a group works on without a member, a margin included.
 	stall time.Duration
 	given map[string]givenOrder
+	// loads is the number of loads ahead of need that may start now, as of loadsAt.
+	loads   float64
+	loadsAt time.Time
 	// holds say until when a VM must not join: the head of its former group may still be open.
 	holds map[string]time.Time
+	// staged holds when the host of a VM was last told to load weights.
+	staged map[string]time.Time
 	// closing holds since when heads are asked to close.
 	closing map[roster.Place]time.Time
 }
@@ -50,6 +78,7 @@
 		stall:   stall,
 		given:   map[string]givenOrder{},
 		holds:   map[string]time.Time{},
+		staged:  map[string]time.Time{},
 		closing: map[roster.Place]time.Time{},
 	}
 }
@@ -61,7 +90,6 @@
 	now    time.Time
 	orders []Order
 	asked  map[string]bool
-	stages int
 }
 
 // Next returns the orders to give now.
@@ -72,6 +100,8 @@
 		now:   now,
 		asked: map[string]bool{},
 	}
+	frm.loads = min(frm.loads+viw.LoadRate*now.Sub(frm.loadsAt).Seconds(), max(loadBurst, viw.LoadRate))
+	frm.loadsAt = now
 	members := map[string]bool{}
 	for _, alc := range viw.Allocations {
 		for _, grp := range alc.Groups {
@@ -81,11 +111,15 @@
 			stp.form(grp)
 		}
 	}
-	for _, srv := range viw.Roster.Service(viw.Service) {
+	srvs := viw.Roster.Service(viw.Service)
+	for _, srv := range srvs {
 		if !members[srv.ID] {
 			stp.free(srv)
 		}
 	}
+	for _, srv := range srvs {
+		stp.stage(srv)
+	}
 	frm.forget(now)
 	return stp.orders
 }
@@ -213,16 +247,43 @@
 	})
 }
 
-// free takes a VM that is in no allocated group out of the group that it reports, and stages weights on it.
+// free takes a VM that is in no allocated group out of the group that it reports, and makes it hold ready what
+// its domain may need.
 func (stp *step) free(srv *roster.Server) {
+	if IsStandby(srv) || srv.Draining {
+		return
+	}
 	if srv.Place.State != roster.Alone {
 		if stp.freed(srv) {
 			stp.leave(srv)
 		}
 		return
 	}
-	model := stp.viw.Stage[srv.ID]
-	if model == "" || len(srv.Staged) > 0 || srv.Draining || stp.stages >= stagesAtOnce {
+	spare, ok := stp.viw.Spares[srv.ID]
+	if !ok || stp.frm.loads < 1 {
+		return
+	}
+	if stp.give(Order{
+		Verb:    Join,
+		Server:  srv.ID,
+		Address: srv.Address,
+		Group:   standbyPrefix + srv.ID,
+		Epoch:   spare.Epoch,
+		Model:   spare.Model,
+		Members: []string{srv.ID},
+	}) {
+		stp.frm.loads--
+	}
+}
+
+// stage loads weights onto the host of a VM that works, for the next group that it may be in.
+func (stp *step) stage(srv *roster.Server) {
+	model := stp.viw.Stages[srv.ID]
+	settled := srv.Place.State == roster.Ready || srv.Place.State == roster.Open
+	if model == "" || !settled || srv.Draining || slices.Contains(srv.Staged, model) || stp.frm.loads < 1 {
+		return
+	}
+	if since, ok := stp.frm.staged[srv.ID]; ok && stp.now.Sub(since) < stageAgain {
 		return
 	}
 	if stp.give(Order{
@@ -231,7 +292,8 @@
 		Address: srv.Address,
 		Model:   model,
 	}) {
-		stp.stages++
+		stp.frm.staged[srv.ID] = stp.now
+		stp.frm.loads--
 	}
 }
 
@@ -241,12 +303,7 @@
 		return false
 	}
 	last, ok := stp.frm.given[ord.Server]
-	wait := againAfter
-	if ord.Verb == Stage {
-		// The report shows weights only once they are loaded.
-		wait = time.Minute
-	}
-	if ok && last.order.same(&ord) && stp.now.Sub(last.at) < wait {
+	if ok && last.order.same(&ord) && stp.now.Sub(last.at) < againAfter {
 		return false
 	}
 	stp.asked[ord.Server] = true
@@ -272,6 +329,11 @@
 			delete(frm.holds, id)
 		}
 	}
+	for id, since := range frm.staged {
+		if now.Sub(since) > memory {
+			delete(frm.staged, id)
+		}
+	}
 	for plc, since := range frm.closing {
 		if now.Sub(since) > memory {
 			delete(frm.closing, plc)
--- a/internal/group/domain.go
+++ b/internal/group/domain.go
@@ -81,6 +81,9 @@
 		if vws[fst].Straggler != vws[snd].Straggler {
 			return vws[snd].Straggler
 		}
+		if vws[fst].Busy != vws[snd].Busy {
+			return vws[snd].Busy
+		}
 		if one, two := slices.Contains(vws[fst].Staged, model), slices.Contains(vws[snd].Staged, model); one != two {
 			return one
 		}
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -23,6 +23,8 @@
 	Straggler bool
 	// Fencing is the fencing number that the VM reports.
 	Fencing uint64
+	// Busy says that the VM still works for a former group, so that others are assigned before it.
+	Busy bool
 	// Staged are the models whose weights the VM's host holds.
 	Staged []string
 }
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -76,6 +76,7 @@
 	if _, err := run.wrt.Write(evt); err != nil {
 		return err
 	}
+	run.lastAt = run.rly.clk.Now()
 	if ok {
 		run.lastEvent = id
 	}
--- a/internal/relay/final.go
+++ b/internal/relay/final.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/refusal"
 )
 
@@ -69,7 +70,7 @@
 		Outcome: ref.Outcome,
 	})
 	if err != nil {
-		rly.log.Error("cannot encode a refusal", zap.String("request", run.facts.RequestID), zap.Error(err))
+		rly.log.Error("cannot encode a refusal", zap.String("request", run.facts.RequestID), logging.Error(err))
 		body = nil
 	}
 	hdr.Set("Content-Length", strconv.Itoa(len(body)))
@@ -82,14 +83,14 @@
 // cutOff ends an answer that cannot be completed so that it does not look complete.
 func (run *run) cutOff(cause error) {
 	run.rly.met.cutOff.Inc(1)
-	run.logEnd(zap.String("by", "relay"), zap.String("outcome", "CutOff"), zap.String("lastEvent", run.lastEvent), zap.NamedError("cause", cause))
+	run.logEnd(zap.String("by", "relay"), zap.String("outcome", "CutOff"), zap.String("lastEvent", run.lastEvent), logging.Error(cause))
 	panic(http.ErrAbortHandler)
 }
 
 // gone notes a caller that has left.
 func (run *run) gone(cause error) {
 	run.rly.met.callerGone.Inc(1)
-	run.logEnd(zap.String("by", "caller"), zap.String("outcome", "CallerGone"), zap.NamedError("cause", cause))
+	run.logEnd(zap.String("by", "caller"), zap.String("outcome", "CallerGone"), logging.Error(cause))
 }
 
 // finished notes a whole answer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,6 +85,11 @@
 	rly.met.inProgress.Update(int64(rly.inFlight))
 }
 
+// Used reports whether any request has come.
+func (rly *Relay) Used() bool {
+	return rly.met.requests.Count() > 0
+}
+
 // InProgress returns the number of requests in progress.
 func (rly *Relay) InProgress() int {
 	rly.mu.Lock()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/placement"
 	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/refusal"
@@ -19,6 +20,16 @@
 // the request does not count as an attempt.
 const extraSends = 2
 
+const (
+	// resumeSends takes the place of extraSends for a stream that has begun.
+	resumeSends = 6
+	// resumePause spaces the attempts to go on with a stream.
+	resumePause = 100 * time.Millisecond
+	// resumePatience is the time since the last event after which nobody goes on with a stream: callers give it up
+	// after about two seconds.
+	resumePatience = 1800 * time.Millisecond
+)
+
 // outcome is how one send ended.
 type outcome int
 
@@ -57,7 +68,9 @@
 	firstAt time.Time
 	// committed says that the caller has got the headers of an answer.
 	committed bool
+	// lastEvent is the ID of the last event that the caller got, lastAt when that was.
 	lastEvent string
+	lastAt    time.Time
 	// kept is a backend server's own failure, delivered if sending once more gives nothing better.
 	kept *wholeAnswer
 }
@@ -73,6 +86,9 @@
 	}
 	for {
 		pick, err := rly.sea.Choose(run.want(), rly.clk.Now())
+		if err != nil && run.mayWait(ctx) {
+			continue
+		}
 		if err != nil {
 			run.giveUp(ctx, err)
 			return
@@ -103,7 +119,27 @@
 	if run.runs > 0 && !run.route.Repeatable() {
 		return false
 	}
-	return run.runs < most && run.sends < most+extraSends
+	extra := extraSends
+	if run.committed {
+		extra = resumeSends
+	}
+	return run.runs < most && run.sends < most+extra
+}
+
+// mayWait waits a moment for a backend server that can go on with a stream whose caller still waits. The caller of
+// a stream that has begun gains nothing from an answer to come back later.
+func (run *run) mayWait(ctx context.Context) bool {
+	if !run.committed || run.rly.clk.Since(run.lastAt) > resumePatience {
+		return false
+	}
+	// Backend servers that were full may have room again.
+	run.avoid = nil
+	select {
+	case <-ctx.Done():
+		return false
+	case <-run.rly.clk.After(resumePause):
+		return true
+	}
 }
 
 func (run *run) want() placement.Want {
@@ -220,6 +256,6 @@
 		zap.Int("send", run.sends),
 		zap.Bool("mayHaveRun", out == unknown),
 		zap.String("lastEvent", run.lastEvent),
-		zap.Error(err),
+		logging.Error(err),
 	)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -183,3 +183,15 @@
 	}
 	return adrs
 }
+
+// Zones returns the zones of a service's backend servers, ordered by name.
+func (viw *View) Zones(service string) []string {
+	var zones []string
+	for _, srv := range viw.services[service] {
+		if !slices.Contains(zones, srv.Zone) {
+			zones = append(zones, srv.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -91,6 +91,8 @@
 	Stride int
 	// FormTime is the time that a group takes to open.
 	FormTime time.Duration
+	// LoadRate is the number of loads per second that the weight store tolerates.
+	LoadRate float64
 	// UsualPrompt and UsualAnswer are the mean token counts of requests.
 	UsualPrompt int
 	UsualAnswer int
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -161,6 +161,7 @@
 	set *settings.Settings,
 	src *sources,
 	pol *upstream.Pool,
+	rly *relay.Relay,
 	les *lease.Lease,
 	inv *inventory.Inventory,
 	bok *allocationbook.Book,
@@ -174,6 +175,7 @@
 		Table:   func() *route.Table { return src.table.Load() },
 		Roster:  func() *roster.View { return src.roster.View() },
 		Settled: src.settled,
+		Quiet:   func() bool { return set.Site.FirstStart && !rly.Used() },
 		Order: func(ctx context.Context, ord formation.Order, fence uint64) error {
 			return giveOrder(ctx, pol, ord, fence)
 		},
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/exposition"
+	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/relay"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/steward"
@@ -106,7 +107,7 @@
 	for _, srv := range servers {
 		if err := srv.Shutdown(drain); err != nil {
 			ste.dep.Log.Named("site").Error("requests were still in progress at the end of the drain timeout",
-				zap.Int("inProgress", ste.dep.Relay.InProgress()), zap.Error(err))
+				zap.Int("inProgress", ste.dep.Relay.InProgress()), logging.Error(err))
 		}
 	}
 }
--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -14,6 +14,7 @@
 	"github.com/cumintally/cumintally/internal/follow"
 	"github.com/cumintally/cumintally/internal/health"
 	"github.com/cumintally/cumintally/internal/inventory"
+	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/roster"
 	"github.com/cumintally/cumintally/internal/route"
@@ -110,7 +111,7 @@
 		if err == nil || errors.Is(err, objects.ErrConflict) {
 			return
 		}
-		src.log.Warn("cannot register this daemon", zap.Error(err))
+		src.log.Warn("cannot register this daemon", logging.Error(err))
 		err = nil
 		select {
 		case <-ctx.Done():
@@ -189,7 +190,7 @@
 		return
 	}
 	src.unreadable[key] = obj.Version
-	src.log.Warn("ignores an unreadable object", zap.String("object", key), zap.Uint64("version", obj.Version), zap.Error(err))
+	src.log.Warn("ignores an unreadable object", zap.String("object", key), zap.Uint64("version", obj.Version), logging.Error(err))
 }
 
 // takeConfig puts a configuration in force unless a newer one is known.
--- a/internal/sizing/doc.go
+++ b/internal/sizing/doc.go
@@ -1,6 +1,7 @@
-// Package sizing decides how many groups of each model an availability zone runs.
+// Package sizing decides how many groups of each model every fabric domain runs.
 //
-// It answers the load pattern of a site whose models share one fleet: VMs go to models by their share of the
-// work, and a part of the VMs stays free, so that a group that loses a member is whole again at once. It does
-// no I/O; the same VMs always give the same numbers, so that groups do not move because a plan was made anew.
+// It answers the load pattern of a site whose models share one fleet while VMs fail and come back all day. Each
+// model needs groups in proportion to its share of the work; the model whose need is met least comes next. VMs
+// that have no group are put to use at once; groups that work are given up for another model only if the worst
+// met need gains clearly, since each change costs seconds of capacity. It does no I/O.
 package sizing
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -6,70 +6,194 @@
 	"github.com/cumintally/cumintally/internal/route"
 )
 
-// reserveShare is the part of a zone's VMs that is kept free to replace lost members. A sixteenth fails at
-// once when a VM or two of a zone of this size crash.
-const reserveShare = 1.0 / 8
-
-// Groups returns the number of groups of each model, in the order of the models, for a zone with so many VMs
-// in each fabric domain.
-func Groups(mods []route.Model, domains []int) []int {
-	nums := make([]int, len(mods))
-	if len(mods) == 0 {
-		return nums
-	}
-	all := 0
-	for _, num := range domains {
-		all += num
-	}
-	usable := all - int(float64(all)*reserveShare)
-	for {
-		best := -1
-		least := 0.0
-		for idx, mod := range mods {
-			if !fits(mods, nums, idx, domains, usable) {
-				continue
-			}
-			// The model that has the fewest VMs for its share of the work comes next.
-			if fill := float64((nums[idx]+1)*mod.VMs) / max(mod.Share, 0.01); best < 0 || fill < least {
-				best = idx
-				least = fill
-			}
+// leastGain is the part by which the largest pressure must fall for groups that work to be given up: about one
+// group of seven, whose capacity outweighs the seconds that the change costs.
+const leastGain = 0.12
+
+// Domain is a fabric domain.
+type Domain struct {
+	Name string
+	Zone string
+	// VMs is the number of VMs that can be used.
+	VMs int
+	// Groups is the number of groups that work, by model.
+	Groups []int
+}
+
+// sizer holds the counts while they are worked out.
+type sizer struct {
+	mods  []route.Model
+	doms  []Domain
+	needs []float64
+}
+
+// Groups returns the number of groups that each domain should run, by model, given those that work now.
+func Groups(mods []route.Model, doms []Domain) [][]int {
+	szr := &sizer{
+		mods: mods,
+		doms: slices.Clone(doms),
+	}
+	all, fresh := 0, true
+	for idx := range szr.doms {
+		dom := &szr.doms[idx]
+		all += dom.VMs
+		dom.Groups = slices.Clone(dom.Groups)
+		for len(dom.Groups) < len(mods) {
+			dom.Groups = append(dom.Groups, 0)
 		}
-		if best < 0 {
-			return nums
+		for _, num := range dom.Groups {
+			fresh = fresh && num == 0
 		}
-		nums[best]++
 	}
+	for _, mod := range mods {
+		szr.needs = append(szr.needs, mod.Share*float64(all)/float64(max(1, mod.VMs)))
+	}
+	gain := leastGain
+	if fresh {
+		// Before any group stands a change costs nothing.
+		gain = 0
+	}
+	for szr.add() || szr.swap(gain) {
+	}
+	counts := make([][]int, 0, len(doms))
+	for idx := range szr.doms {
+		counts = append(counts, szr.doms[idx].Groups)
+	}
+	return counts
 }
 
-// fits reports whether one more group of a model has room in the domains, the largest groups placed first.
-func fits(mods []route.Model, nums []int, more int, domains []int, usable int) bool {
-	nums = slices.Clone(nums)
-	nums[more]++
-	var sizes []int
+func (szr *sizer) free(dom *Domain) int {
+	free := dom.VMs
+	for idx, num := range dom.Groups {
+		free -= num * szr.mods[idx].VMs
+	}
+	return free
+}
+
+func (szr *sizer) total(mod int) int {
 	sum := 0
-	for idx, mod := range mods {
-		sum += nums[idx] * mod.VMs
-		for range nums[idx] {
-			sizes = append(sizes, mod.VMs)
+	for idx := range szr.doms {
+		sum += szr.doms[idx].Groups[mod]
+	}
+	return sum
+}
+
+// pressure is the need of a model over its groups, as if there were extra more.
+func (szr *sizer) pressure(mod, extra int) float64 {
+	num := szr.total(mod) + extra
+	if num <= 0 {
+		// Any model without a group comes before all others.
+		return 1000 * szr.needs[mod]
+	}
+	return szr.needs[mod] / float64(num)
+}
+
+func (szr *sizer) worst() float64 {
+	most := 0.0
+	for mod := range szr.mods {
+		most = max(most, szr.pressure(mod, 0))
+	}
+	return most
+}
+
+// add uses free VMs for one more group: of the model with the largest pressure that fits anywhere.
+func (szr *sizer) add() bool {
+	best, at := -1, -1
+	for mod := range szr.mods {
+		if best >= 0 && szr.pressure(mod, 0) <= szr.pressure(best, 0) {
+			continue
+		}
+		if dom := szr.roomiest(mod, func(dom *Domain) bool { return szr.free(dom) >= szr.mods[mod].VMs }); dom >= 0 {
+			best, at = mod, dom
 		}
 	}
-	if sum > usable || mods[more].VMs <= 0 {
+	if best < 0 || szr.mods[best].VMs <= 0 {
 		return false
 	}
-	slices.Sort(sizes)
-	free := slices.Clone(domains)
-	for _, size := range slices.Backward(sizes) {
-		best := -1
-		for idx, num := range free {
-			if num >= size && (best < 0 || num < free[best]) {
-				best = idx
-			}
+	szr.doms[at].Groups[best]++
+	return true
+}
+
+// roomiest returns the domain that fits for one more group: in the zone with the fewest groups of the model, the
+// domain with the fewest of them, and of these the one with most free VMs, so that the loss of a domain or a
+// zone costs each model alike.
+func (szr *sizer) roomiest(mod int, fits func(dom *Domain) bool) int {
+	best := -1
+	for idx := range szr.doms {
+		if !fits(&szr.doms[idx]) {
+			continue
+		}
+		if best < 0 || szr.before(mod, idx, best) {
+			best = idx
+		}
+	}
+	return best
+}
+
+func (szr *sizer) before(mod, one, two int) bool {
+	fst, snd := &szr.doms[one], &szr.doms[two]
+	if zone, other := szr.inZone(mod, fst.Zone), szr.inZone(mod, snd.Zone); zone != other {
+		return zone < other
+	}
+	if fst.Groups[mod] != snd.Groups[mod] {
+		return fst.Groups[mod] < snd.Groups[mod]
+	}
+	return szr.free(fst) > szr.free(snd)
+}
+
+func (szr *sizer) inZone(mod int, zone string) int {
+	sum := 0
+	for idx := range szr.doms {
+		if szr.doms[idx].Zone == zone {
+			sum += szr.doms[idx].Groups[mod]
 		}
-		if best < 0 {
-			return false
+	}
+	return sum
+}
+
+// swap gives up groups of one model in a domain for one group of another, if the largest pressure falls by more
+// than the part gain.
+func (szr *sizer) swap(gain float64) bool {
+	before := szr.worst()
+	bestWorst, bestDom := before*(1-gain), -1
+	var bestGroups []int
+	for idx := range szr.doms {
+		dom := &szr.doms[idx]
+		kept := dom.Groups
+		for mod := range szr.mods {
+			for from := range szr.mods {
+				dom.Groups = szr.traded(dom, kept, mod, from)
+				if dom.Groups == nil {
+					continue
+				}
+				if worst := szr.worst(); worst < bestWorst-1e-9 {
+					bestWorst, bestDom, bestGroups = worst, idx, dom.Groups
+				}
+			}
 		}
-		free[best] -= size
+		dom.Groups = kept
 	}
+	if bestDom < 0 {
+		return false
+	}
+	szr.doms[bestDom].Groups = bestGroups
 	return true
 }
+
+// traded returns a domain's groups with one more of a model and as few less of another as are needed, nil if
+// that does not fit.
+func (szr *sizer) traded(dom *Domain, kept []int, mod, from int) []int {
+	if mod == from || szr.mods[from].VMs <= 0 {
+		return nil
+	}
+	dom.Groups = kept
+	missing := szr.mods[mod].VMs - szr.free(dom)
+	less := (missing + szr.mods[from].VMs - 1) / szr.mods[from].VMs
+	if less <= 0 || less > kept[from] {
+		return nil
+	}
+	groups := slices.Clone(kept)
+	groups[mod]++
+	groups[from] -= less
+	return groups
+}
--- a/internal/steward/observer.go
+++ b/internal/steward/observer.go
@@ -1,11 +1,12 @@
 package steward
 
 import (
-	"fmt"
-	"slices"
 	"sort"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cumintally/cumintally/internal/formation"
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/roster"
@@ -20,44 +21,39 @@
 	// lostAfter is the time for which an entry must be missing while the store has been well all along: entries
 	// are removed only after some heartbeats of silence.
 	lostAfter = 100 * time.Millisecond
-	// rememberDomain is the time for which a VM that is gone counts for the size of its domain, so that the
-	// number of groups does not change with each restart.
-	rememberDomain = 30 * time.Second
+	// stableFor is the time for which no VM must have registered before the first groups are planned: a site that
+	// starts registers its VMs within a second or two, and a plan of half of them would be changed again.
+	stableFor = 700 * time.Millisecond
 )
 
 // observer notes since when things are as they are.
 type observer struct {
-	// settle is the time after which a VM that left a group may be used again.
-	settle   time.Duration
-	released map[group.ReleasedVM]time.Time
-	seen     map[string]seenVM
-}
-
-type seenVM struct {
-	zone   string
-	domain string
-	last   time.Time
+	// seen holds the VMs that registered, and grown when one did for the first time.
+	seen  map[string]bool
+	grown time.Time
 }
 
 // situation is what one turn plans from.
 type situation struct {
-	svc      *route.Service
-	rst      *roster.View
-	inv      *inventory.Inventory
-	obs      *observer
-	zones    []string
-	domains  map[string]map[string]int
-	now      time.Time
-	mayLose  bool
-	settled  map[group.ReleasedVM]bool
-	document *document.Document
+	svc     *route.Service
+	rst     *roster.View
+	inv     *inventory.Inventory
+	now     time.Time
+	zones   []string
+	domains []sizing.Domain
+	byName  map[string]int
+	// mayLose says that an entry that is missing belongs to a VM that is gone.
+	mayLose bool
+	// settling says that VMs are still registering.
+	settling bool
+	models   []document.Model
+	// groups are the groups that each domain should run.
+	groups map[string][]document.Group
 }
 
-func newObserver(settle time.Duration) *observer {
+func newObserver() *observer {
 	return &observer{
-		settle:   settle,
-		released: map[group.ReleasedVM]time.Time{},
-		seen:     map[string]seenVM{},
+		seen: map[string]bool{},
 	}
 }
 
@@ -72,126 +68,181 @@
 		svc:     svc,
 		rst:     rst,
 		inv:     inv,
-		obs:     obs,
 		now:     now,
-		domains: map[string]map[string]int{},
+		byName:  map[string]int{},
+		groups:  map[string][]document.Group{},
 		mayLose: settled(returnTime),
-		settled: map[group.ReleasedVM]bool{},
 	}
 	for _, srv := range rst.Service(svc.Name) {
 		if srv.Domain == "" {
 			continue
 		}
-		if srv.Draining {
-			delete(obs.seen, srv.ID)
-			sit.note(srv.Zone, srv.Domain, 0)
-			continue
-		}
-		obs.seen[srv.ID] = seenVM{
-			zone:   srv.Zone,
-			domain: srv.Domain,
-			last:   now,
+		if !obs.seen[srv.ID] {
+			obs.seen[srv.ID] = true
+			obs.grown = now
 		}
-	}
-	for id, vmc := range obs.seen {
-		if now.Sub(vmc.last) > rememberDomain {
-			delete(obs.seen, id)
-			continue
+		dom := sit.domain(srv.Zone, srv.Domain)
+		if !srv.Draining {
+			dom.VMs++
 		}
-		sit.note(vmc.zone, vmc.domain, 1)
 	}
-	for zone := range sit.domains {
+	sit.settling = now.Sub(obs.grown) < stableFor
+	for _, zone := range rst.Zones(svc.Name) {
 		sit.zones = append(sit.zones, zone)
+		for _, alc := range inv.Allocations(zone) {
+			sit.domain(zone, alc.FabricDomain)
+		}
 	}
-	sort.Strings(sit.zones)
-	sit.observeReleased()
-	sit.document = sit.newDocument()
+	sit.wantGroups()
 	return sit
 }
 
-func (sit *situation) note(zone, domain string, num int) {
-	if sit.domains[zone] == nil {
-		sit.domains[zone] = map[string]int{}
+// domain returns the entry of a fabric domain.
+func (sit *situation) domain(zone, name string) *sizing.Domain {
+	idx, ok := sit.byName[name]
+	if !ok {
+		idx = len(sit.domains)
+		sit.byName[name] = idx
+		sit.domains = append(sit.domains, sizing.Domain{
+			Name:   name,
+			Zone:   zone,
+			Groups: make([]int, len(sit.svc.Engine.Models)),
+		})
 	}
-	sit.domains[zone][domain] += num
+	return &sit.domains[idx]
 }
 
-// observeReleased notes since when VMs are released.
-func (sit *situation) observeReleased() {
-	next := map[group.ReleasedVM]time.Time{}
-	for _, zone := range sit.zones {
-		for _, alc := range sit.inv.Allocations(zone) {
-			for _, rel := range alc.Released {
-				since, ok := sit.obs.released[rel]
-				if !ok {
-					since = sit.now
-				}
-				next[rel] = since
-				sit.settled[rel] = sit.now.Sub(since) > sit.obs.settle
-			}
+// intact reports whether every member of a group is registered and stays.
+func (sit *situation) intact(grp group.Group) bool {
+	for _, mem := range grp.Members {
+		if srv, ok := sit.rst.Server(mem.VM); !ok || srv.Draining {
+			return false
 		}
 	}
-	sit.obs.released = next
+	return true
 }
 
-// newDocument returns the groups that the site should run, as the planner takes them.
-func (sit *situation) newDocument() *document.Document {
-	doc := &document.Document{}
-	for _, mod := range sit.svc.Engine.Models {
-		doc.Models = append(doc.Models, document.Model{
+// wantGroups works out the groups that each domain should run, as the planner takes them: as many as sizing says,
+// those that work before those that can be repaired, and new ones last.
+func (sit *situation) wantGroups() {
+	models := map[string]int{}
+	for idx, mod := range sit.svc.Engine.Models {
+		models[mod.Name] = idx
+		sit.models = append(sit.models, document.Model{
 			Name:        mod.Name,
 			VMsPerGroup: mod.VMs,
 		})
 	}
-	for _, zone := range sit.zones {
-		var nums []int
-		for _, num := range sit.domains[zone] {
-			nums = append(nums, num)
+	names := make([]map[int][]string, len(sit.domains))
+	used := map[string]bool{}
+	for _, whole := range []bool{true, false} {
+		for idx := range sit.domains {
+			alc, _ := sit.inv.Allocation(sit.domains[idx].Name)
+			for _, grp := range alc.Groups {
+				mod, ok := models[grp.Model]
+				if !ok || len(grp.Members) != sit.svc.Engine.Models[mod].VMs || sit.intact(grp) != whole {
+					continue
+				}
+				if names[idx] == nil {
+					names[idx] = map[int][]string{}
+				}
+				names[idx][mod] = append(names[idx][mod], strings.TrimSuffix(grp.Name, replicaSuffix))
+				used[grp.Name] = true
+				if whole {
+					sit.domains[idx].Groups[mod]++
+				}
+			}
 		}
-		slices.Sort(nums)
-		for idx, num := range sizing.Groups(sit.svc.Engine.Models, nums) {
-			if num > 0 {
-				doc.Groups = append(doc.Groups, document.Group{
-					Name:             fmt.Sprintf("%s-%s", sit.svc.Engine.Models[idx].Name, zone),
-					Model:            sit.svc.Engine.Models[idx].Name,
-					AvailabilityZone: zone,
-					Replicas:         num,
+	}
+	for idx, counts := range sizing.Groups(sit.svc.Engine.Models, sit.domains) {
+		for mod, num := range counts {
+			for pos := range num {
+				dom := &sit.domains[idx]
+				sit.groups[dom.Name] = append(sit.groups[dom.Name], document.Group{
+					Name:             sit.name(names[idx][mod], pos, mod, dom, used),
+					Model:            sit.svc.Engine.Models[mod].Name,
+					AvailabilityZone: dom.Zone,
+					Replicas:         1,
 				})
 			}
 		}
 	}
-	return doc
 }
 
-// view returns what the plan of a zone is made from.
-func (sit *situation) view(zone string) group.View {
+// replicaSuffix is what the planner adds to the name of a group with one replica.
+const replicaSuffix = "/0"
+
+// name returns the name of a group: one that stands, or a free one.
+func (sit *situation) name(standing []string, pos, mod int, dom *sizing.Domain, used map[string]bool) string {
+	if pos < len(standing) {
+		return standing[pos]
+	}
+	for num := 0; ; num++ {
+		name := sit.svc.Engine.Models[mod].Name + "-" + dom.Name + "-" + strconv.Itoa(num)
+		if !used[name+replicaSuffix] {
+			used[name+replicaSuffix] = true
+			return name
+		}
+	}
+}
+
+// mayPlan reports whether groups may be planned now: what is missing must be known to be gone, and a site that
+// starts must have registered its VMs.
+func (sit *situation) mayPlan() bool {
+	if !sit.mayLose {
+		return false
+	}
+	if !sit.settling {
+		return true
+	}
+	for idx := range sit.domains {
+		if _, ver := sit.inv.Allocation(sit.domains[idx].Name); ver > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// view returns what the plan of a domain is made from. Domains are planned one by one, since sizing has decided
+// which of them runs what.
+func (sit *situation) view(dom *sizing.Domain) group.View {
 	viw := group.View{
-		AvailabilityZone: zone,
-		Document:         sit.document,
-		Allocations:      sit.inv.Allocations(zone),
-		Settled:          sit.settled,
-		Serving:          map[group.Place]bool{},
-		Drained:          map[group.Place]bool{},
-		Broken:           map[group.Place]bool{},
+		AvailabilityZone: dom.Zone,
+		Document: &document.Document{
+			Models: sit.models,
+			Groups: sit.groups[dom.Name],
+		},
+		Settled: map[group.ReleasedVM]bool{},
+		Serving: map[group.Place]bool{},
+		Drained: map[group.Place]bool{},
+		Broken:  map[group.Place]bool{},
 	}
 	known := map[string]bool{}
 	for _, srv := range sit.rst.Service(sit.svc.Name) {
-		if srv.Zone == zone && srv.Domain != "" {
+		if srv.Domain == dom.Name {
 			known[srv.ID] = true
 			viw.VMs = append(viw.VMs, vmView(srv))
 		}
 	}
-	for _, alc := range viw.Allocations {
-		for _, grp := range alc.Groups {
-			sit.groupState(&viw, alc, grp)
-			for _, mem := range grp.Members {
-				if !known[mem.VM] {
-					known[mem.VM] = true
-					viw.VMs = append(viw.VMs, sit.missing(alc, mem))
-				}
+	alc, ver := sit.inv.Allocation(dom.Name)
+	if ver == 0 {
+		return viw
+	}
+	viw.Allocations = []group.Allocation{alc}
+	for _, grp := range alc.Groups {
+		sit.groupState(&viw, alc, grp)
+		for _, mem := range grp.Members {
+			if !known[mem.VM] {
+				known[mem.VM] = true
+				viw.VMs = append(viw.VMs, sit.missing(alc, mem))
 			}
 		}
 	}
+	// Released VMs may be used again at once: an engine rejects late orders by their epoch, and formation waits
+	// until the former group has ended.
+	for _, rel := range alc.Released {
+		viw.Settled[rel] = true
+	}
 	return viw
 }
 
@@ -200,7 +251,8 @@
 		Name:         srv.ID,
 		FabricDomain: srv.Domain,
 		Address:      srv.Address,
-		Usable:       srv.Place.State == roster.Alone && !srv.Draining,
+		Usable:       !srv.Draining,
+		Busy:         srv.Place.State != roster.Alone && !formation.IsStandby(srv),
 		Leaving:      srv.Draining,
 		Fencing:      srv.Place.Epoch,
 		Staged:       srv.Staged,
@@ -248,21 +300,46 @@
 	}
 }
 
-// stage returns the models whose weights the spare VMs should hold: in each domain that of its largest groups
-// first, since they are the hardest to make whole.
-func (sit *situation) stage() map[string]string {
-	stages := map[string]string{}
-	for _, zone := range sit.zones {
-		for _, alc := range sit.inv.Allocations(zone) {
-			models := modelsBySize(alc)
-			if len(models) == 0 {
+// spares returns what the VMs without a group should hold ready in memory, by VM: in each domain the model of its
+// largest groups first, since they are the hardest to make whole.
+func (sit *situation) spares() map[string]formation.Standby {
+	spares := map[string]formation.Standby{}
+	for idx := range sit.domains {
+		alc, _ := sit.inv.Allocation(sit.domains[idx].Name)
+		models := modelsBySize(alc)
+		if len(models) == 0 {
+			continue
+		}
+		members := memberSet(alc)
+		num := 0
+		for _, srv := range sit.rst.Service(sit.svc.Name) {
+			if srv.Domain != alc.FabricDomain || srv.Draining || members[srv.ID] != "" {
 				continue
 			}
-			num := 0
-			for _, srv := range sit.rst.Service(sit.svc.Name) {
-				if srv.Domain == alc.FabricDomain && srv.Place.State == roster.Alone {
-					stages[srv.ID] = models[num%len(models)]
-					num++
+			spares[srv.ID] = formation.Standby{
+				Model: models[num%len(models)],
+				Epoch: alc.Counter,
+			}
+			num++
+		}
+	}
+	return spares
+}
+
+// stages returns the models whose weights the hosts should hold, by VM: the model that the VM does not serve, so
+// that it can take part in a group of any model within seconds.
+func (sit *situation) stages() map[string]string {
+	stages := map[string]string{}
+	mods := sit.svc.Engine.Models
+	if len(mods) < 2 {
+		return stages
+	}
+	for idx := range sit.domains {
+		alc, _ := sit.inv.Allocation(sit.domains[idx].Name)
+		for id, model := range memberSet(alc) {
+			for pos, mod := range mods {
+				if mod.Name == model {
+					stages[id] = mods[(pos+1)%len(mods)].Name
 				}
 			}
 		}
@@ -270,6 +347,17 @@
 	return stages
 }
 
+// memberSet returns the model that each member of a domain's groups serves.
+func memberSet(alc group.Allocation) map[string]string {
+	members := map[string]string{}
+	for _, grp := range alc.Groups {
+		for _, mem := range grp.Members {
+			members[mem.VM] = grp.Model
+		}
+	}
+	return members
+}
+
 func modelsBySize(alc group.Allocation) []string {
 	sizes := map[string]int{}
 	var models []string
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -14,6 +14,7 @@
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/lease"
+	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/roster"
 	"github.com/cumintally/cumintally/internal/route"
 )
@@ -24,9 +25,13 @@
 	// interval is the time between two turns of the loop.
 	interval = 150 * time.Millisecond
 	// seekInterval is the time between two looks at the lease by daemons that do not hold it.
-	seekInterval = 2 * time.Second
+	seekInterval = time.Second
 	// orderTimeout bounds the wait for the answer to an order.
 	orderTimeout = time.Second
+	// aheadShare is the part of the weight store's rate that loads ahead of need may take; the rest is for groups.
+	aheadShare = 0.4
+	// quietLoads is the number of loads per second before the first request: as many as a site has VMs.
+	quietLoads = 100
 	// stallMargin is added to the time for which a group works on without a member.
 	stallMargin = 500 * time.Millisecond
 )
@@ -44,6 +49,8 @@
 	Roster func() *roster.View
 	// Settled reports whether the daemon's copies have been current for at least span.
 	Settled func(span time.Duration) bool
+	// Quiet reports whether the site has just started and no request has come yet: loads of weights cost nothing then.
+	Quiet func() bool
 	// Order gives an order; fence is a number that grows with each holder of the lease.
 	Order func(ctx context.Context, ord formation.Order, fence uint64) error
 }
@@ -76,7 +83,7 @@
 		inv:  inv,
 		bok:  bok,
 		frm:  formation.New(cfg.StallTime + stallMargin),
-		obs:  newObserver(cfg.StallTime + stallMargin),
+		obs:  newObserver(),
 		clk:  clk,
 		log:  log.Named("steward"),
 		busy: map[string]bool{},
@@ -96,7 +103,7 @@
 	end, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderTimeout)
 	defer cancel()
 	if err := stw.les.Release(end); err != nil {
-		stw.log.Warn("cannot release the lease; the next holder waits until it expires", zap.Error(err))
+		stw.log.Warn("cannot release the lease; the next holder waits until it expires", logging.Error(err))
 	}
 }
 
@@ -116,7 +123,7 @@
 	}
 	if !stw.leading {
 		if err := stw.bok.Read(ctx); err != nil {
-			stw.log.Warn("cannot take over the allocations", zap.Error(err))
+			stw.log.Warn("cannot take over the allocations", logging.Error(err))
 			return
 		}
 		stw.leading = true
@@ -137,7 +144,7 @@
 	}
 	stw.lookedAt = now
 	if err := stw.les.Acquire(ctx); err != nil {
-		stw.log.Debug("cannot renew the lease", zap.Error(err))
+		stw.log.Debug("cannot renew the lease", logging.Error(err))
 	}
 }
 
@@ -146,19 +153,19 @@
 	now := stw.clk.Now()
 	rst := stw.sea.Roster()
 	sit := stw.obs.observe(svc, rst, stw.inv, now, stw.sea.Settled)
-	for _, zone := range sit.zones {
-		for _, chg := range group.Plan(sit.view(zone)) {
-			if err := stw.bok.Write(ctx, chg.Allocation); err != nil {
-				stw.log.Warn("cannot write an allocation", zap.String("domain", chg.Allocation.FabricDomain), zap.Error(err))
-				return
-			}
-			stw.logPlan(chg.Allocation)
-		}
+	if sit.mayPlan() {
+		stw.plan(ctx, sit)
+	}
+	rate := svc.Engine.LoadRate * aheadShare
+	if stw.sea.Quiet() {
+		rate = quietLoads
 	}
 	viw := formation.View{
-		Service: svc.Name,
-		Roster:  rst,
-		Stage:   sit.stage(),
+		LoadRate: rate,
+		Service:  svc.Name,
+		Roster:   rst,
+		Spares:   sit.spares(),
+		Stages:   sit.stages(),
 	}
 	for _, zone := range sit.zones {
 		viw.Allocations = append(viw.Allocations, stw.inv.Allocations(zone)...)
@@ -168,6 +175,19 @@
 	}
 }
 
+// plan writes the allocations that should change.
+func (stw *Steward) plan(ctx context.Context, sit *situation) {
+	for idx := range sit.domains {
+		for _, chg := range group.Plan(sit.view(&sit.domains[idx])) {
+			if err := stw.bok.Write(ctx, chg.Allocation); err != nil {
+				stw.log.Warn("cannot write an allocation", zap.String("domain", chg.Allocation.FabricDomain), logging.Error(err))
+				return
+			}
+			stw.logPlan(chg.Allocation)
+		}
+	}
+}
+
 func (stw *Steward) logPlan(alc group.Allocation) {
 	for _, grp := range alc.Groups {
 		if grp.Fencing != alc.Counter && !grp.Draining {
@@ -215,7 +235,7 @@
 			zap.Uint64("fence", fence),
 		}
 		if err != nil {
-			stw.log.Warn("an order was not accepted", append(fields, zap.Error(err))...)
+			stw.log.Warn("an order was not accepted", append(fields, logging.Error(err))...)
 			return
 		}
 		stw.log.Info("an order was accepted", fields...)
--- a/internal/verb/entry.go
+++ b/internal/verb/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"reflect"
@@ -11,8 +12,10 @@
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/cumintally/cumintally/internal/entry"
+	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/site"
 )
@@ -48,10 +51,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	log, err := newLogger(set.Log.Level)
+	log, flush, err := newLogger(set.Log.Level, os.Stdout)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	defer flush()
 	log = log.With(zap.String("entry", set.Entry.Name))
 	run, err := newDaemon(set, log)
 	if err != nil {
@@ -107,17 +111,15 @@
 	}
 }
 
-func newLogger(level string) (*zap.Logger, error) {
+// newLogger returns a log of JSON lines on out, and a function that writes what waits.
+func newLogger(level string, out io.Writer) (*zap.Logger, func(), error) {
 	lvl, err := zap.ParseAtomicLevel(level)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, nil, errors.Trace(err)
 	}
-	cfg := zap.NewProductionConfig()
-	cfg.Level = lvl
-	cfg.Sampling = nil
-	cfg.DisableStacktrace = true
-	cfg.DisableCaller = true
-	return cfg.Build()
+	snk := logging.New(out)
+	enc := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	return zap.New(zapcore.NewCore(enc, snk, lvl)), snk.Close, nil
 }
 
 func settingsFlag(path *string) cli.Flag {
--- a/internal/verb/local.go
+++ b/internal/verb/local.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -69,10 +70,11 @@
 		address: set.Listen.Operators,
 		key:     localOperatorKey,
 	}
-	log, err := newLogger(set.Log.Level)
+	log, flush, err := newLogger(set.Log.Level, os.Stderr)
 	if err != nil {
 		return errors.Trace(err)
 	}
+	defer flush()
 	ent, err := entry.New(set, log)
 	if err != nil {
 		return errors.Trace(err)
