--- a/internal/group/domain.go
+++ b/internal/group/domain.go
@@ -81,17 +81,36 @@
 		if vws[fst].Straggler != vws[snd].Straggler {
 			return vws[snd].Straggler
 		}
+		if one, two := vws[fst].readiness(model), vws[snd].readiness(model); one != two {
+			return one > two
+		}
 		if vws[fst].Busy != vws[snd].Busy {
 			return vws[snd].Busy
 		}
-		if one, two := slices.Contains(vws[fst].Staged, model), slices.Contains(vws[snd].Staged, model); one != two {
-			return one
-		}
 		return vws[fst].Name < vws[snd].Name
 	})
 	return vws
 }
 
+// readiness ranks a VM for a model: by the time until it can serve it, and after that so that weights of other
+// models in memory are kept.
+func (vmv VMView) readiness(model string) int {
+	switch {
+	case model == "":
+		return 0
+	case vmv.Loaded == model:
+		return 4
+	case slices.Contains(vmv.Staged, model) && vmv.Loaded == "":
+		return 3
+	case slices.Contains(vmv.Staged, model):
+		return 2
+	case vmv.Loaded == "":
+		return 1
+	default:
+		return 0
+	}
+}
+
 // healthySpares returns the number of spare VMs that are no stragglers.
 func (dom *domain) healthySpares() int {
 	num := 0
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -25,6 +25,8 @@
 	Fencing uint64
 	// Busy says that the VM still works for a former group, so that others are assigned before it.
 	Busy bool
+	// Loaded is the model whose weights the VM holds in memory, empty if that is none or not known.
+	Loaded string
 	// Staged are the models whose weights the VM's host holds.
 	Staged []string
 }
--- a/internal/logging/sink.go
+++ b/internal/logging/sink.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -101,6 +102,27 @@
 	if dropped > 0 {
 		data = fmt.Appendf(data, `{"level":"warn","logger":"logging","msg":"lines were dropped since the output is too slow","lines":%d}`+"\n", dropped)
 	}
-	// An output that fails cannot be told of; the next lines are tried all the same.
-	_, _ = snk.out.Write(data)
+	for len(data) > 0 {
+		num := chunk(data)
+		// An output that fails cannot be told of; the next lines are tried all the same.
+		_, _ = snk.out.Write(data[:num])
+		data = data[num:]
+	}
+}
+
+// maxWrite is the size up to which a pipe takes a write whole, so that lines of several processes do not mix.
+const maxWrite = 4096
+
+// chunk returns the number of bytes to write next: as many whole lines as fit, at least one.
+func chunk(data []byte) int {
+	if len(data) <= maxWrite {
+		return len(data)
+	}
+	if end := bytes.LastIndexByte(data[:maxWrite], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(data, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(data)
 }
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -6,82 +6,112 @@
 	"github.com/cumintally/cumintally/internal/route"
 )
 
-// leastGain is the part by which the largest pressure must fall for groups that work to be given up: about one
-// group of seven, whose capacity outweighs the seconds that the change costs.
-const leastGain = 0.12
+const (
+	// leastGain is the part by which the largest pressure must fall for groups that work to be given up: about that
+	// of one group of eight.
+	leastGain = 0.1
+	// slowFactor lowers the pressure of a model whose weights must be loaded first, which takes about ten times as
+	// long as a group from weights at hand.
+	slowFactor = 0.4
+	// keepFactor is how many times as large the pressure of a model must be for VMs to give up the weights of
+	// another one for it: going back takes a load.
+	keepFactor = 1.15
+)
+
+// None stands for no model.
+const None = -1
 
-// Domain is a fabric domain.
+// VM is a VM of a fabric domain. Models are given by their index.
+type VM struct {
+	// Serves is the model of the group that the VM works in, None if it is in no group that works.
+	Serves int
+	// Memory is the model that the VM served last, None if it has served none since it started.
+	Memory int
+	// Host are the models whose weights the VM's host holds.
+	Host []int
+}
+
+// Domain is a fabric domain with the VMs that can be used.
 type Domain struct {
 	Name string
 	Zone string
-	// VMs is the number of VMs that can be used.
-	VMs int
-	// Groups is the number of groups that work, by model.
-	Groups []int
+	VMs  []VM
 }
 
 // sizer holds the counts while they are worked out.
 type sizer struct {
 	mods  []route.Model
-	doms  []Domain
+	doms  []*domain
 	needs []float64
 }
 
+type domain struct {
+	zone   string
+	groups []int
+	vms    []VM
+}
+
 // Groups returns the number of groups that each domain should run, by model, given those that work now.
 func Groups(mods []route.Model, doms []Domain) [][]int {
 	szr := &sizer{
 		mods: mods,
-		doms: slices.Clone(doms),
-	}
-	all, fresh := 0, true
-	for idx := range szr.doms {
-		dom := &szr.doms[idx]
-		all += dom.VMs
-		dom.Groups = slices.Clone(dom.Groups)
-		for len(dom.Groups) < len(mods) {
-			dom.Groups = append(dom.Groups, 0)
-		}
-		for _, num := range dom.Groups {
-			fresh = fresh && num == 0
-		}
+	}
+	all := 0
+	for _, dom := range doms {
+		all += len(dom.VMs)
+		szr.doms = append(szr.doms, newDomain(mods, dom))
 	}
 	for _, mod := range mods {
 		szr.needs = append(szr.needs, mod.Share*float64(all)/float64(max(1, mod.VMs)))
 	}
+	fresh := true
+	for mod := range mods {
+		fresh = fresh && szr.total(mod) == 0
+	}
 	gain := leastGain
 	if fresh {
 		// Before any group stands a change costs nothing.
 		gain = 0
 	}
-	for szr.add() || szr.swap(gain) {
+	for szr.add() || szr.swap(gain, fresh) {
 	}
 	counts := make([][]int, 0, len(doms))
-	for idx := range szr.doms {
-		counts = append(counts, szr.doms[idx].Groups)
+	for _, dom := range szr.doms {
+		counts = append(counts, dom.groups)
 	}
 	return counts
 }
 
-func (szr *sizer) free(dom *Domain) int {
-	free := dom.VMs
-	for idx, num := range dom.Groups {
-		free -= num * szr.mods[idx].VMs
+func newDomain(mods []route.Model, from Domain) *domain {
+	dom := &domain{
+		zone:   from.Zone,
+		groups: make([]int, len(mods)),
+		vms:    slices.Clone(from.VMs),
 	}
-	return free
+	serving := make([]int, len(mods))
+	for _, vmc := range dom.vms {
+		if vmc.Serves != None {
+			serving[vmc.Serves]++
+		}
+	}
+	for mod := range mods {
+		dom.groups[mod] = serving[mod] / max(1, mods[mod].VMs)
+	}
+	return dom
 }
 
 func (szr *sizer) total(mod int) int {
 	sum := 0
-	for idx := range szr.doms {
-		sum += szr.doms[idx].Groups[mod]
+	for _, dom := range szr.doms {
+		sum += dom.groups[mod]
 	}
 	return sum
 }
 
-// pressure is the need of a model over its groups, as if there were extra more.
-func (szr *sizer) pressure(mod, extra int) float64 {
-	num := szr.total(mod) + extra
-	if num <= 0 {
+// pressure is the need of a model over its groups.
+func (szr *sizer) pressure(mod int) float64 {
+	num := szr.total(mod)
+	if num == 0 {
 		// Any model without a group comes before all others.
 		return 1000 * szr.needs[mod]
 	}
@@ -91,109 +121,184 @@
 func (szr *sizer) worst() float64 {
 	most := 0.0
 	for mod := range szr.mods {
-		most = max(most, szr.pressure(mod, 0))
+		most = max(most, szr.pressure(mod))
 	}
 	return most
 }
 
-// add uses free VMs for one more group: of the model with the largest pressure that fits anywhere.
+// picked are VMs for one more group of a model.
+type picked struct {
+	vms []int
+	// ready says that all of them have the weights at hand.
+	ready bool
+}
+
+// pick returns free VMs of a domain for one more group of a model: those with its weights in memory first, then
+// those whose hosts hold them, then others. VMs that hold the weights of a model with about as much pressure are
+// left to that one. It returns none if there are too few.
+func (szr *sizer) pick(dom *domain, mod int) picked {
+	var ranked [3][]int
+	for idx, vmc := range dom.vms {
+		switch {
+		case vmc.Serves != None:
+		case vmc.Memory == mod:
+			ranked[0] = append(ranked[0], idx)
+		case vmc.Memory != None && szr.total(mod) > 0 && szr.pressure(mod) < keepFactor*szr.pressure(vmc.Memory):
+		case slices.Contains(vmc.Host, mod):
+			ranked[1] = append(ranked[1], idx)
+		default:
+			ranked[2] = append(ranked[2], idx)
+		}
+	}
+	size := szr.mods[mod].VMs
+	all := slices.Concat(ranked[0], ranked[1], ranked[2])
+	if size <= 0 || len(all) < size {
+		return picked{}
+	}
+	return picked{
+		vms:   all[:size],
+		ready: len(ranked[0])+len(ranked[1]) >= size,
+	}
+}
+
+// add uses free VMs for one more group: of the model with the largest pressure that fits anywhere, models whose
+// weights are at hand before others.
 func (szr *sizer) add() bool {
-	best, at := -1, -1
+	var best picked
+	bestMod, bestDom, most := None, 0, 0.0
 	for mod := range szr.mods {
-		if best >= 0 && szr.pressure(mod, 0) <= szr.pressure(best, 0) {
+		at, pck := szr.place(mod)
+		if len(pck.vms) == 0 {
 			continue
 		}
-		if dom := szr.roomiest(mod, func(dom *Domain) bool { return szr.free(dom) >= szr.mods[mod].VMs }); dom >= 0 {
-			best, at = mod, dom
+		prs := szr.pressure(mod)
+		if !pck.ready {
+			prs *= slowFactor
+		}
+		if bestMod == None || prs > most {
+			best, bestMod, bestDom, most = pck, mod, at, prs
 		}
 	}
-	if best < 0 || szr.mods[best].VMs <= 0 {
+	if bestMod == None {
 		return false
 	}
-	szr.doms[at].Groups[best]++
+	szr.doms[bestDom].serve(bestMod, best.vms)
 	return true
 }
 
-// roomiest returns the domain that fits for one more group: in the zone with the fewest groups of the model, the
-// domain with the fewest of them, and of these the one with most free VMs, so that the loss of a domain or a
-// zone costs each model alike.
-func (szr *sizer) roomiest(mod int, fits func(dom *Domain) bool) int {
-	best := -1
-	for idx := range szr.doms {
-		if !fits(&szr.doms[idx]) {
+func (dom *domain) serve(mod int, vms []int) {
+	dom.groups[mod]++
+	for _, idx := range vms {
+		dom.vms[idx].Serves = mod
+	}
+}
+
+// place returns where one more group of a model goes: where weights are at hand, in the zone with the fewest
+// groups of the model, in the domain with the fewest of them and the most free VMs, so that the loss of a domain
+// or a zone costs each model alike.
+func (szr *sizer) place(mod int) (int, picked) {
+	best := None
+	var chosen picked
+	for idx, dom := range szr.doms {
+		pck := szr.pick(dom, mod)
+		if len(pck.vms) == 0 {
 			continue
 		}
-		if best < 0 || szr.before(mod, idx, best) {
-			best = idx
+		if best == None || (pck.ready && !chosen.ready) || (pck.ready == chosen.ready && szr.before(mod, idx, best)) {
+			best, chosen = idx, pck
 		}
 	}
-	return best
+	return best, chosen
 }
 
 func (szr *sizer) before(mod, one, two int) bool {
-	fst, snd := &szr.doms[one], &szr.doms[two]
-	if zone, other := szr.inZone(mod, fst.Zone), szr.inZone(mod, snd.Zone); zone != other {
+	fst, snd := szr.doms[one], szr.doms[two]
+	if zone, other := szr.inZone(mod, fst.zone), szr.inZone(mod, snd.zone); zone != other {
 		return zone < other
 	}
-	if fst.Groups[mod] != snd.Groups[mod] {
-		return fst.Groups[mod] < snd.Groups[mod]
+	if fst.groups[mod] != snd.groups[mod] {
+		return fst.groups[mod] < snd.groups[mod]
+	}
+	return fst.free() > snd.free()
+}
+
+func (dom *domain) free() int {
+	num := 0
+	for _, vmc := range dom.vms {
+		if vmc.Serves == None {
+			num++
+		}
 	}
-	return szr.free(fst) > szr.free(snd)
+	return num
 }
 
 func (szr *sizer) inZone(mod int, zone string) int {
 	sum := 0
-	for idx := range szr.doms {
-		if szr.doms[idx].Zone == zone {
-			sum += szr.doms[idx].Groups[mod]
+	for _, dom := range szr.doms {
+		if dom.zone == zone {
+			sum += dom.groups[mod]
 		}
 	}
 	return sum
 }
 
 // swap gives up groups of one model in a domain for one group of another, if the largest pressure falls by more
-// than the part gain.
-func (szr *sizer) swap(gain float64) bool {
-	before := szr.worst()
-	bestWorst, bestDom := before*(1-gain), -1
-	var bestGroups []int
-	for idx := range szr.doms {
-		dom := &szr.doms[idx]
-		kept := dom.Groups
+// than the part gain. Unless slow is set it only does so where the weights are at hand.
+func (szr *sizer) swap(gain float64, slow bool) bool {
+	least, bestDom := szr.worst()*(1-gain)-1e-9, None
+	var bestTrade *domain
+	for idx, dom := range szr.doms {
 		for mod := range szr.mods {
 			for from := range szr.mods {
-				dom.Groups = szr.traded(dom, kept, mod, from)
-				if dom.Groups == nil {
+				trd := szr.trade(dom, mod, from, slow)
+				if trd == nil {
 					continue
 				}
-				if worst := szr.worst(); worst < bestWorst-1e-9 {
-					bestWorst, bestDom, bestGroups = worst, idx, dom.Groups
+				szr.doms[idx] = trd
+				if worst := szr.worst(); worst < least {
+					least, bestDom, bestTrade = worst, idx, trd
 				}
+				szr.doms[idx] = dom
 			}
 		}
-		dom.Groups = kept
 	}
-	if bestDom < 0 {
+	if bestDom == None {
 		return false
 	}
-	szr.doms[bestDom].Groups = bestGroups
+	szr.doms[bestDom] = bestTrade
 	return true
 }
 
-// traded returns a domain's groups with one more of a model and as few less of another as are needed, nil if
-// that does not fit.
-func (szr *sizer) traded(dom *Domain, kept []int, mod, from int) []int {
-	if mod == from || szr.mods[from].VMs <= 0 {
+// trade returns a domain with one more group of a model and as few less of another as are needed, nil if that
+// does not do.
+func (szr *sizer) trade(dom *domain, mod, from int, slow bool) *domain {
+	if mod == from {
 		return nil
 	}
-	dom.Groups = kept
-	missing := szr.mods[mod].VMs - szr.free(dom)
-	less := (missing + szr.mods[from].VMs - 1) / szr.mods[from].VMs
-	if less <= 0 || less > kept[from] {
-		return nil
+	trd := &domain{
+		zone:   dom.zone,
+		groups: slices.Clone(dom.groups),
+		vms:    slices.Clone(dom.vms),
+	}
+	for trd.groups[from] > 0 {
+		trd.dissolve(from, szr.mods[from].VMs, mod)
+		if pck := szr.pick(trd, mod); len(pck.vms) > 0 && (pck.ready || slow) {
+			trd.serve(mod, pck.vms)
+			return trd
+		}
+	}
+	return nil
+}
+
+// dissolve frees the VMs of one group, those first whose hosts hold the weights of another model.
+func (dom *domain) dissolve(from, size, forModel int) {
+	dom.groups[from]--
+	for _, held := range []bool{true, false} {
+		for idx := range dom.vms {
+			if size > 0 && dom.vms[idx].Serves == from && slices.Contains(dom.vms[idx].Host, forModel) == held {
+				dom.vms[idx].Serves = None
+				size--
+			}
+		}
 	}
-	groups := slices.Clone(kept)
-	groups[mod]++
-	groups[from] -= less
-	return groups
 }
--- a/internal/steward/observer.go
+++ b/internal/steward/observer.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -26,18 +27,42 @@
 	stableFor = 700 * time.Millisecond
 )
 
-// observer notes since when things are as they are.
+// observer notes what engines reported before.
 type observer struct {
-	// seen holds the VMs that registered, and grown when one did for the first time.
-	seen  map[string]bool
+	// seen holds the VMs that registered, and grown is when one did for the first time.
+	seen  map[string]seenVM
 	grown time.Time
 }
 
+// seenVM is what is remembered of a VM's process: the model that it served last.
+type seenVM struct {
+	born   int64
+	memory string
+}
+
+func (obs *observer) note(srv *roster.Server, now time.Time) {
+	old, ok := obs.seen[srv.ID]
+	if !ok {
+		obs.grown = now
+	}
+	next := seenVM{
+		born: srv.Born,
+	}
+	if ok && old.born == srv.Born {
+		next.memory = old.memory
+	}
+	if srv.Place.State != roster.Alone && len(srv.Models) > 0 {
+		next.memory = srv.Models[0]
+	}
+	obs.seen[srv.ID] = next
+}
+
 // situation is what one turn plans from.
 type situation struct {
 	svc     *route.Service
 	rst     *roster.View
 	inv     *inventory.Inventory
+	obs     *observer
 	now     time.Time
 	zones   []string
 	domains []sizing.Domain
@@ -53,7 +78,7 @@
 
 func newObserver() *observer {
 	return &observer{
-		seen: map[string]bool{},
+		seen: map[string]seenVM{},
 	}
 }
 
@@ -68,22 +93,16 @@
 		svc:     svc,
 		rst:     rst,
 		inv:     inv,
+		obs:     obs,
 		now:     now,
 		byName:  map[string]int{},
 		groups:  map[string][]document.Group{},
 		mayLose: settled(returnTime),
 	}
 	for _, srv := range rst.Service(svc.Name) {
-		if srv.Domain == "" {
-			continue
-		}
-		if !obs.seen[srv.ID] {
-			obs.seen[srv.ID] = true
-			obs.grown = now
-		}
-		dom := sit.domain(srv.Zone, srv.Domain)
-		if !srv.Draining {
-			dom.VMs++
+		if srv.Domain != "" {
+			obs.note(srv, now)
+			sit.domain(srv.Zone, srv.Domain)
 		}
 	}
 	sit.settling = now.Sub(obs.grown) < stableFor
@@ -104,9 +123,8 @@
 		idx = len(sit.domains)
 		sit.byName[name] = idx
 		sit.domains = append(sit.domains, sizing.Domain{
-			Name:   name,
-			Zone:   zone,
-			Groups: make([]int, len(sit.svc.Engine.Models)),
+			Name: name,
+			Zone: zone,
 		})
 	}
 	return &sit.domains[idx]
@@ -148,12 +166,10 @@
 				}
 				names[idx][mod] = append(names[idx][mod], strings.TrimSuffix(grp.Name, replicaSuffix))
 				used[grp.Name] = true
-				if whole {
-					sit.domains[idx].Groups[mod]++
-				}
 			}
 		}
 	}
+	sit.addVMs(models)
 	for idx, counts := range sizing.Groups(sit.svc.Engine.Models, sit.domains) {
 		for mod, num := range counts {
 			for pos := range num {
@@ -169,6 +185,45 @@
 	}
 }
 
+// addVMs tells sizing of the VMs that can be used: the group that each works in and the weights that it has.
+func (sit *situation) addVMs(models map[string]int) {
+	serving := map[string]int{}
+	for idx := range sit.domains {
+		alc, _ := sit.inv.Allocation(sit.domains[idx].Name)
+		for _, grp := range alc.Groups {
+			mod, ok := models[grp.Model]
+			if !ok || !sit.intact(grp) {
+				continue
+			}
+			for _, mem := range grp.Members {
+				serving[mem.VM] = mod
+			}
+		}
+	}
+	for _, srv := range sit.rst.Service(sit.svc.Name) {
+		if srv.Domain == "" || srv.Draining {
+			continue
+		}
+		vmc := sizing.VM{
+			Serves: sizing.None,
+			Memory: sizing.None,
+		}
+		if mod, ok := serving[srv.ID]; ok {
+			vmc.Serves = mod
+		}
+		if mod, ok := models[sit.obs.seen[srv.ID].memory]; ok {
+			vmc.Memory = mod
+		}
+		for _, name := range srv.Staged {
+			if mod, ok := models[name]; ok {
+				vmc.Host = append(vmc.Host, mod)
+			}
+		}
+		dom := sit.domain(srv.Zone, srv.Domain)
+		dom.VMs = append(dom.VMs, vmc)
+	}
+}
+
 // replicaSuffix is what the planner adds to the name of a group with one replica.
 const replicaSuffix = "/0"
 
@@ -221,7 +276,7 @@
 	for _, srv := range sit.rst.Service(sit.svc.Name) {
 		if srv.Domain == dom.Name {
 			known[srv.ID] = true
-			viw.VMs = append(viw.VMs, vmView(srv))
+			viw.VMs = append(viw.VMs, sit.vmView(srv))
 		}
 	}
 	alc, ver := sit.inv.Allocation(dom.Name)
@@ -246,7 +301,7 @@
 	return viw
 }
 
-func vmView(srv *roster.Server) group.VMView {
+func (sit *situation) vmView(srv *roster.Server) group.VMView {
 	return group.VMView{
 		Name:         srv.ID,
 		FabricDomain: srv.Domain,
@@ -255,6 +310,7 @@
 		Busy:         srv.Place.State != roster.Alone && !formation.IsStandby(srv),
 		Leaving:      srv.Draining,
 		Fencing:      srv.Place.Epoch,
+		Loaded:       sit.obs.seen[srv.ID].memory,
 		Staged:       srv.Staged,
 	}
 }
@@ -316,8 +372,15 @@
 			if srv.Domain != alc.FabricDomain || srv.Draining || members[srv.ID] != "" {
 				continue
 			}
+			model := models[num%len(models)]
+			// Weights at hand are in memory in a second or two; others take many times as long.
+			if loaded := sit.obs.seen[srv.ID].memory; loaded != "" {
+				model = loaded
+			} else if len(srv.Staged) > 0 && !slices.Contains(srv.Staged, model) {
+				model = srv.Staged[0]
+			}
 			spares[srv.ID] = formation.Standby{
-				Model: models[num%len(models)],
+				Model: model,
 				Epoch: alc.Counter,
 			}
 			num++
@@ -336,7 +399,11 @@
 	}
 	for idx := range sit.domains {
 		alc, _ := sit.inv.Allocation(sit.domains[idx].Name)
-		for id, model := range memberSet(alc) {
+		held := memberSet(alc)
+		for id, spare := range sit.spares() {
+			held[id] = spare.Model
+		}
+		for id, model := range held {
 			for pos, mod := range mods {
 				if mod.Name == model {
 					stages[id] = mods[(pos+1)%len(mods)].Name
