Let requests that can be on time pass those that will be late

Cause: at a busy engine a request that was late already took the slot of one that could still be on time.

--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -23,7 +23,10 @@
 const (
 	// usefulFactor is how many times its objective a first token may take before the request is turned away. Late
 	// answers are worth less, and beyond about two objectives callers leave.
-	usefulFactor = 1.5
+	usefulFactor = 2.5
+	// lateStep is added to the priority of a request that will be late, so that it comes after all priorities of
+	// requests that can be on time.
+	lateStep = 5
 	// leastUseful keeps a request that comes back late from being turned away by idle backend servers.
 	leastUseful = 250 * time.Millisecond
 	// resumeSends takes the place of extraSends for a stream that has begun.
@@ -188,7 +191,7 @@
 	defer cancel()
 	watch := run.watchStall(srv.ID, cancel)
 	defer watch.stop()
-	ans, err := con.Do(ctx, run.call(srv.ID))
+	ans, err := con.Do(ctx, run.call(pick))
 	if errors.Is(err, upstream.ErrNotSent) {
 		return notRun, errors.Trace(err)
 	}
@@ -217,7 +220,7 @@
 	return errors.Trace(err)
 }
 
-func (run *run) call(server string) upstream.Call {
+func (run *run) call(pick placement.Pick) upstream.Call {
 	hdr := forwardedHeader(run.htr.Header)
 	last := run.lastEvent
 	if last == "" {
@@ -225,10 +228,10 @@
 	}
 	run.rly.fmt.WriteRequest(hdr, Send{
 		Left:        run.deadline.Sub(run.rly.clk.Now()),
-		Server:      server,
+		Server:      pick.Server.ID,
 		Workspace:   run.workspace,
 		LastEventID: last,
-		Priority:    run.priority,
+		Priority:    run.urgency(pick.Forecast),
 	})
 	return upstream.Call{
 		Method: run.htr.Method,
@@ -243,6 +246,19 @@
 	}
 }
 
+// urgency returns the priority at the backend server. A request that will be late in any case lets those pass that
+// can still be on time; a stream that has begun passes all others.
+func (run *run) urgency(forecast time.Duration) int {
+	switch late := run.rly.clk.Since(run.start)+forecast > run.route.Objective; {
+	case run.committed:
+		return 0
+	case run.route.Objective > 0 && forecast > 0 && late:
+		return run.priority + lateStep
+	default:
+		return run.priority
+	}
+}
+
 // take judges an answer by its headers and passes it on.
 func (run *run) take(ctx context.Context, watch *stallWatch, pick placement.Pick, ans *upstream.Answer) (outcome, error) {
 	server := pick.Server.ID
