--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -64,10 +64,17 @@
 	holds map[string]time.Time
 	// staged holds when the host of a VM was last told to load weights.
 	staged map[string]time.Time
+	// heads holds the VM that was last seen as the head of a group.
+	heads map[roster.Place]seenHead
 	// closing holds since when heads are asked to close.
 	closing map[roster.Place]time.Time
 }
 
+type seenHead struct {
+	server string
+	at     time.Time
+}
+
 type givenOrder struct {
 	order Order
 	at    time.Time
@@ -82,6 +89,7 @@
 		holds:   map[string]time.Time{},
 		staged:  map[string]time.Time{},
 		closing: map[roster.Place]time.Time{},
+		heads:   map[roster.Place]seenHead{},
 	}
 }
 
@@ -107,6 +115,7 @@
 	frm.loads = min(frm.loads+viw.LoadRate*now.Sub(frm.loadsAt).Seconds(), max(loadBurst, viw.LoadRate))
 	frm.loadsAt = now
 	stp.loading = frm.loading(viw, now)
+	frm.noteHeads(viw, now)
 	members := map[string]bool{}
 	for _, alc := range viw.Allocations {
 		for _, grp := range alc.Groups {
@@ -208,6 +217,12 @@
 	if _, ok := stp.viw.Roster.Head(stp.viw.Service, srv.Place); ok {
 		return stp.cleared(srv.Place, false)
 	}
+	if old, ok := stp.frm.heads[srv.Place.Identity()]; ok {
+		if _, ok := stp.viw.Roster.Server(old.server); ok {
+			// The head is registered and in another group now.
+			return true
+		}
+	}
 	// The head is out of sight but may still be open. Without this member its group stops working.
 	stp.frm.holds[srv.ID] = stp.now.Add(stp.frm.stall)
 	stp.leave(srv)
@@ -342,6 +357,18 @@
 	return true
 }
 
+// noteHeads remembers the heads of groups, so that one that went on to another group is not waited for.
+func (frm *Formation) noteHeads(viw View, now time.Time) {
+	for _, srv := range viw.Roster.Service(viw.Service) {
+		if srv.Place.State != roster.Alone && srv.Place.Rank == 0 {
+			frm.heads[srv.Place.Identity()] = seenHead{
+				server: srv.ID,
+				at:     now,
+			}
+		}
+	}
+}
+
 // memory is the time for which given orders are remembered; it exceeds all waits above.
 const memory = 2 * time.Minute
 
@@ -356,6 +383,11 @@
 			delete(frm.holds, id)
 		}
 	}
+	for plc, hed := range frm.heads {
+		if now.Sub(hed.at) > memory {
+			delete(frm.heads, plc)
+		}
+	}
 	for id, since := range frm.staged {
 		if now.Sub(since) > memory {
 			delete(frm.staged, id)
--- /dev/null
+++ b/internal/formation/formation_test.go
@@ -0,0 +1,260 @@
+package formation_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cumintally/cumintally/internal/formation"
+	"github.com/cumintally/cumintally/internal/group"
+	"github.com/cumintally/cumintally/internal/roster"
+)
+
+const (
+	service = "engines"
+	stall   = 4 * time.Second
+)
+
+var start = time.Unix(1000, 0)
+
+// bench holds what engines report and the orders given for it.
+type bench struct {
+	rst *roster.Roster
+	frm *formation.Formation
+	now time.Time
+	alc group.Allocation
+}
+
+func newBench() *bench {
+	return &bench{
+		rst: roster.New(),
+		frm: formation.New(stall),
+		now: start,
+		alc: group.Allocation{
+			FabricDomain: "fabric-a",
+			Counter:      20,
+		},
+	}
+}
+
+func (bch *bench) report(id, grp string, epoch uint64, rank int, state roster.GroupState) {
+	bch.rst.Apply([]roster.Change{
+		{
+			Server: roster.Server{
+				ID:      id,
+				Service: service,
+				Address: id + ":1",
+				Domain:  "fabric-a",
+				Staged:  []string{"large"},
+				Place: roster.Place{
+					Group: grp,
+					Epoch: epoch,
+					Rank:  rank,
+					State: state,
+				},
+			},
+		},
+	}, bch.now)
+}
+
+func (bch *bench) gone(id string) {
+	bch.rst.Apply([]roster.Change{
+		{
+			Server: roster.Server{
+				ID: id,
+			},
+			Gone: true,
+		},
+	}, bch.now)
+}
+
+func (bch *bench) allocate(name string, epoch uint64, ids ...string) {
+	grp := group.Group{
+		Name:    name,
+		Model:   "large",
+		Fencing: epoch,
+	}
+	for _, id := range ids {
+		grp.Members = append(grp.Members, group.Member{
+			VM:      id,
+			Address: id + ":1",
+		})
+	}
+	bch.alc.Groups = append(bch.alc.Groups, grp)
+}
+
+// orders returns the orders of the next step as "Verb vm group".
+func (bch *bench) orders() []string {
+	var lines []string
+	for _, ord := range bch.frm.Next(formation.View{
+		Service:     service,
+		Roster:      bch.rst.View(),
+		Allocations: []group.Allocation{bch.alc},
+		LoadRate:    10,
+		MostLoads:   10,
+	}, bch.now) {
+		lines = append(lines, string(ord.Verb)+" "+ord.Server+" "+ord.Group)
+	}
+	bch.now = bch.now.Add(200 * time.Millisecond)
+	return lines
+}
+
+func TestMembersJoinBeforeTheHeadOpens(tst *testing.T) {
+	bch := newBench()
+	bch.allocate("g", 5, "a", "b")
+	bch.report("a", "", 0, 0, roster.Alone)
+	bch.report("b", "", 0, 0, roster.Alone)
+	qt.Assert(tst, bch.orders(), qt.DeepEquals, []string{"Join a g", "Join b g"})
+	qt.Assert(tst, bch.orders(), qt.HasLen, 0, qt.Commentf("orders are not given again at once"))
+	bch.report("a", "g", 5, 0, roster.Ready)
+	bch.report("b", "g", 5, 1, roster.Joining)
+	qt.Assert(tst, bch.orders(), qt.HasLen, 0, qt.Commentf("a member is still joining"))
+	bch.report("b", "g", 4, 1, roster.Ready)
+	bch.now = bch.now.Add(5 * time.Second)
+	qt.Assert(tst, bch.orders(), qt.DeepEquals, []string{"Leave b g"}, qt.Commentf("a member is ready with an old epoch, whose head is not known"))
+	bch.report("b", "g", 5, 1, roster.Ready)
+	qt.Assert(tst, bch.orders(), qt.DeepEquals, []string{"Open a g"})
+}
+
+// Guards against a member that is unknown to the registry and yet counts as ready.
+func TestHeadIsNotOpenedWithoutAMember(tst *testing.T) {
+	bch := newBench()
+	bch.allocate("g", 5, "a", "b")
+	bch.report("a", "g", 5, 0, roster.Ready)
+	qt.Assert(tst, bch.orders(), qt.HasLen, 0)
+}
+
+// Guards against an order that was lost and is never given again.
+func TestLostOrderIsGivenAgain(tst *testing.T) {
+	bch := newBench()
+	bch.allocate("g", 5, "a")
+	bch.report("a", "", 0, 0, roster.Alone)
+	qt.Assert(tst, bch.orders(), qt.DeepEquals, []string{"Join a g"})
+	bch.now = bch.now.Add(2 * time.Second)
+	qt.Assert(tst, bch.orders(), qt.DeepEquals, []string{"Join a g"})
+}
+
+// Guards against a VM in two groups: the head of its former group is closed first.
+func TestFormerHeadClosesFirst(tst *testing.T) {
+	bch := newBench()
+	bch.allocate("new", 9, "b")
+	bch.allocate("old", 8, "a", "c")
+	bch.report("a", "old", 5, 0, roster.Open)
+	bch.report("b", "old", 5, 1, roster.Ready)
+	bch.report("c", "", 0, 0, roster.Alone)
+	orders := bch.orders()
+	qt.Assert(tst, orders, qt.Contains, "Close a old")
+	qt.Assert(tst, orders, qt.Not(qt.Contains), "Join b new")
+	bch.report("a", "old", 5, 0, roster.Closing)
+	qt.Assert(tst, bch.orders(), qt.Not(qt.Contains), "Join b new")
+	bch.report("a", "old", 5, 0, roster.Ready)
+	orders = bch.orders()
+	qt.Assert(tst, orders, qt.Contains, "Join b new")
+	qt.Assert(tst, orders, qt.Contains, "Join a old")
+}
+
+// Guards against a VM in two groups while the head of its former one is out of sight: it may still serve, so the VM
+// leaves and waits until a group without a member has stopped.
+func TestMemberOfMissingHeadWaits(tst *testing.T) {
+	bch := newBench()
+	bch.allocate("new", 9, "b")
+	bch.report("a", "old", 5, 0, roster.Open)
+	bch.report("b", "old", 5, 1, roster.Ready)
+	bch.gone("a")
+	qt.Assert(tst, bch.orders(), qt.DeepEquals, []string{"Leave b old"})
+	bch.report("b", "", 0, 0, roster.Alone)
+	for bch.now.Before(start.Add(stall)) {
+		qt.Assert(tst, bch.orders(), qt.HasLen, 0)
+	}
+	bch.now = bch.now.Add(time.Second)
+	qt.Assert(tst, bch.orders(), qt.DeepEquals, []string{"Join b new"})
+}
+
+// Guards against a wait for a head that has already gone on to another group.
+func TestMemberOfHeadThatMovedOnJoinsAtOnce(tst *testing.T) {
+	bch := newBench()
+	bch.allocate("g", 6, "a", "b")
+	bch.report("a", "g", 5, 0, roster.Ready)
+	bch.report("b", "g", 5, 1, roster.Ready)
+	qt.Assert(tst, bch.orders(), qt.DeepEquals, []string{"Join a g", "Join b g"})
+	bch.report("a", "g", 6, 0, roster.Ready)
+	bch.now = bch.now.Add(2 * time.Second)
+	qt.Assert(tst, bch.orders(), qt.DeepEquals, []string{"Join b g"})
+}
+
+// Guards against a planned change that cuts work off: the head finishes what it has, but not for ever.
+func TestDrainingGroupFinishesItsWork(tst *testing.T) {
+	bch := newBench()
+	bch.allocate("g", 5, "a", "b")
+	bch.alc.Groups[0].Draining = true
+	bch.report("a", "g", 5, 0, roster.Open)
+	bch.report("b", "g", 5, 1, roster.Ready)
+	view := formation.View{
+		Service:     service,
+		Roster:      bch.rst.View(),
+		Allocations: []group.Allocation{bch.alc},
+	}
+	ords := bch.frm.Next(view, bch.now)
+	qt.Assert(tst, ords, qt.HasLen, 1)
+	qt.Assert(tst, ords[0].Verb, qt.Equals, formation.Close)
+	qt.Assert(tst, ords[0].Finish, qt.IsTrue)
+	bch.report("a", "g", 5, 0, roster.Closing)
+	view.Roster = bch.rst.View()
+	qt.Assert(tst, bch.frm.Next(view, bch.now.Add(time.Second)), qt.HasLen, 0)
+	ords = bch.frm.Next(view, bch.now.Add(8*time.Second))
+	qt.Assert(tst, ords, qt.HasLen, 1)
+	qt.Assert(tst, ords[0].Finish, qt.IsFalse)
+}
+
+// Guards against spares without weights: each holds some in memory, in a group of its own that is never opened.
+func TestSparesHoldWeights(tst *testing.T) {
+	bch := newBench()
+	bch.report("s", "", 0, 0, roster.Alone)
+	view := formation.View{
+		Service:     service,
+		Roster:      bch.rst.View(),
+		Allocations: []group.Allocation{bch.alc},
+		Spares: map[string]formation.Standby{
+			"s": {
+				Model: "large",
+				Epoch: 20,
+			},
+		},
+		LoadRate:  10,
+		MostLoads: 10,
+	}
+	ords := bch.frm.Next(view, bch.now)
+	qt.Assert(tst, ords, qt.HasLen, 1)
+	qt.Assert(tst, ords[0].Members, qt.DeepEquals, []string{"s"})
+	bch.report("s", ords[0].Group, 20, 0, roster.Ready)
+	srv, _ := bch.rst.View().Server("s")
+	qt.Assert(tst, formation.IsStandby(srv), qt.IsTrue)
+	qt.Assert(tst, bch.orders(), qt.HasLen, 0)
+	bch.allocate("g", 21, "s")
+	qt.Assert(tst, bch.orders(), qt.DeepEquals, []string{"Join s g"})
+}
+
+// Replays many hosts without weights: no more loads run at once than the weight store takes without slowing down.
+func TestLoadsAheadOfNeedAreFew(tst *testing.T) {
+	bch := newBench()
+	view := formation.View{
+		Service:   service,
+		Stages:    map[string]string{},
+		LoadRate:  10,
+		MostLoads: 3,
+	}
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		bch.report(id, "group-"+id, 5, 0, roster.Open)
+		bch.allocate("group-"+id, 5, id)
+		view.Stages[id] = "small"
+	}
+	view.Roster = bch.rst.View()
+	view.Allocations = []group.Allocation{bch.alc}
+	num := 0
+	for range 50 {
+		num += len(bch.frm.Next(view, bch.now))
+		bch.now = bch.now.Add(100 * time.Millisecond)
+	}
+	qt.Assert(tst, num, qt.Equals, 3)
+}
