--- a/internal/loadview/view.go
+++ b/internal/loadview/view.go
@@ -6,12 +6,23 @@
 )
 
 const (
-	// Interval is the time between two announcements: some of them fall into the time to a first token.
-	Interval = 100 * time.Millisecond
-	// validFor is the time for which a daemon's word counts.
+	// interval is the time between two announcements of a small site: some of them fall into the time to a first
+	// token.
+	interval = 100 * time.Millisecond
+	// smallSite is the number of daemons up to which they all tell each other that often. Beyond it the interval grows
+	// with their number, so that what a daemon sends does not.
+	smallSite = 16
+	// validFor is the time for which a daemon's word counts, longer than any interval.
 	validFor = time.Second
+	// mostInterval bounds the interval below validFor.
+	mostInterval = 600 * time.Millisecond
 )
 
+// Interval returns the time between two announcements of a site with so many daemons.
+func Interval(daemons int) time.Duration {
+	return min(max(interval, interval*time.Duration(daemons)/smallSite), mostInterval)
+}
+
 // Load is work in progress at a backend server.
 type Load struct {
 	_ struct{} `cbor:",toarray"`
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -211,7 +211,12 @@
 	switch {
 	case watch.stalled():
 		run.rly.met.stalled.Inc(1)
-		run.rly.brd.Exclude(server, now)
+		if run.service.Engine == nil {
+			// One lost answer does not speak against the others.
+			run.rly.brd.Failed(server, now)
+		} else {
+			run.rly.brd.Exclude(server, now)
+		}
 		return errors.Annotate(err, "no progress")
 	case ctx.Err() == nil:
 		run.rly.brd.Failed(server, now)
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -11,6 +11,9 @@
 	// stalled: some times the longest usual pause between events, and well below the two seconds after which
 	// callers give a stream up.
 	stallAfter = 900 * time.Millisecond
+	// silentCall takes its place for calls of plain services, whose answers come in some tens of milliseconds: after
+	// it the answer has probably been lost, and a call that may be repeated still has time for it.
+	silentCall = 600 * time.Millisecond
 	// stallCheck spaces looks at other streams while this one waits.
 	stallCheck = 150 * time.Millisecond
 )
@@ -20,6 +23,7 @@
 type stallWatch struct {
 	rly    *Relay
 	server string
+	after  time.Duration
 	cancel context.CancelFunc
 	timer  *time.Timer
 	last   atomic.Int64
@@ -33,20 +37,24 @@
 		server: server,
 		cancel: cancel,
 	}
-	if run.service.Engine == nil || !run.route.Repeatable() || run.runs+1 >= max(1, run.route.MaxAttempts) {
+	if !run.route.Repeatable() || run.runs+1 >= max(1, run.route.MaxAttempts) {
 		return wch
 	}
+	wch.after = stallAfter
+	if run.service.Engine == nil {
+		wch.after = silentCall
+	}
 	wch.last.Store(run.rly.clk.Now().UnixNano())
-	wch.timer = time.AfterFunc(stallAfter, wch.check)
+	wch.timer = time.AfterFunc(wch.after, wch.check)
 	return wch
 }
 
 func (wch *stallWatch) check() {
 	last := time.Unix(0, wch.last.Load())
-	if prg := wch.rly.brd.LastProgress(wch.server); prg.After(last) {
+	if prg := wch.rly.brd.LastProgress(wch.server); wch.after == stallAfter && prg.After(last) {
 		last = prg
 	}
-	if left := stallAfter - wch.rly.clk.Since(last); left > 0 {
+	if left := wch.after - wch.rly.clk.Since(last); left > 0 {
 		wch.timer.Reset(max(left, stallCheck))
 		return
 	}
--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -123,7 +123,7 @@
 		for name, adr := range prs.src.peers() {
 			prs.announce(ctx, name, adr, ann)
 		}
-		prs.sleep(ctx, loadview.Interval)
+		prs.sleep(ctx, loadview.Interval(prs.src.countDaemons()))
 	}
 }
 
--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -29,6 +29,10 @@
 	// forms groups waits for gatherLeading only.
 	gatherServers = 250 * time.Millisecond
 	gatherLeading = 40 * time.Millisecond
+	// gatherEach is added for each daemon, so that the calls of all of them grow little with the fleet, and
+	// gatherMost bounds the pause: a backend server that leaves must get no new work after two seconds.
+	gatherEach = 18 * time.Millisecond
+	gatherMost = 1300 * time.Millisecond
 	// gatherOthers is the pause after changes of other kinds.
 	gatherOthers = 30 * time.Millisecond
 	// unknownDaemons is the number of daemons that is assumed before the store has said.
@@ -104,7 +108,7 @@
 	if src.les.Held() {
 		return gatherLeading
 	}
-	return gatherServers
+	return min(max(gatherServers, time.Duration(src.countDaemons())*gatherEach), gatherMost)
 }
 
 func (src *sources) run(ctx context.Context, wgr *sync.WaitGroup) {
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,202 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/goleak"
+
+	"github.com/cumintally/cumintally/internal/upstream"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// server answers each request on its connections with what reply writes.
+type server struct {
+	lst  net.Listener
+	cons atomic.Int32
+}
+
+func newServer(tst *testing.T, reply func(con net.Conn, req *http.Request, num int) bool) *server {
+	lst, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(tst, err, qt.IsNil)
+	srv := &server{
+		lst: lst,
+	}
+	tst.Cleanup(func() { lst.Close() })
+	go func() {
+		for {
+			con, err := lst.Accept()
+			if err != nil {
+				return
+			}
+			srv.cons.Add(1)
+			go serve(con, reply)
+		}
+	}()
+	return srv
+}
+
+func serve(con net.Conn, reply func(con net.Conn, req *http.Request, num int) bool) {
+	defer con.Close()
+	rdr := bufio.NewReader(con)
+	for num := 0; ; num++ {
+		req, err := http.ReadRequest(rdr)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil || !reply(con, req, num) {
+			return
+		}
+	}
+}
+
+func write(con net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func newPool() *upstream.Pool {
+	return upstream.New((&net.Dialer{}).DialContext, clockwork.NewRealClock(), metrics.NewCounter())
+}
+
+func call(id string) upstream.Call {
+	return upstream.Call{
+		Method: http.MethodPost,
+		Target: "/x",
+		Host:   "shop",
+		Header: http.Header{"Id": {id}},
+		Body:   []byte("body"),
+		Owns:   func(res *http.Response) bool { return res.Header.Get("Id") == id },
+	}
+}
+
+// ask makes a call and returns the body of its answer.
+func ask(ctx context.Context, pol *upstream.Pool, adr, id string) (string, error) {
+	con, err := pol.Get(ctx, adr)
+	if err != nil {
+		return "", err
+	}
+	ans, err := con.Do(ctx, call(id))
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(ans.Body)
+	ans.Finish(err == nil)
+	return string(body), err
+}
+
+func closePool(pol *upstream.Pool) {
+	pol.Trim(func(string) bool { return false })
+}
+
+func TestConnectionsAreKept(tst *testing.T) {
+	srv := newServer(tst, func(con net.Conn, req *http.Request, _ int) bool {
+		write(con, req.Header.Get("Id"), "answer")
+		return true
+	})
+	pol := newPool()
+	defer closePool(pol)
+	for num := range 5 {
+		body, err := ask(tst.Context(), pol, srv.lst.Addr().String(), fmt.Sprint(num))
+		qt.Assert(tst, err, qt.IsNil)
+		qt.Assert(tst, body, qt.Equals, "answer")
+	}
+	qt.Assert(tst, srv.cons.Load(), qt.Equals, int32(1))
+}
+
+// Guards against a second answer to one request that is taken for the answer to the next, whether it comes before
+// or after the next request is sent.
+func TestStrayAnswersBelongToNobody(tst *testing.T) {
+	for _, pause := range []time.Duration{0, 30 * time.Millisecond} {
+		srv := newServer(tst, func(con net.Conn, req *http.Request, _ int) bool {
+			id := req.Header.Get("Id")
+			write(con, id, "answer "+id)
+			time.Sleep(pause)
+			write(con, id, "stray "+id)
+			return true
+		})
+		pol := newPool()
+		for num := range 8 {
+			id := fmt.Sprint(num)
+			body, err := ask(tst.Context(), pol, srv.lst.Addr().String(), id)
+			qt.Assert(tst, err, qt.IsNil)
+			qt.Assert(tst, body, qt.Equals, "answer "+id)
+		}
+		closePool(pol)
+	}
+}
+
+// Guards against a kept connection whose peer has closed it.
+func TestClosedConnectionsAreNotUsed(tst *testing.T) {
+	srv := newServer(tst, func(con net.Conn, req *http.Request, _ int) bool {
+		write(con, req.Header.Get("Id"), "answer")
+		return false
+	})
+	pol := newPool()
+	defer closePool(pol)
+	for num := range 3 {
+		_, err := ask(tst.Context(), pol, srv.lst.Addr().String(), fmt.Sprint(num))
+		qt.Assert(tst, err, qt.IsNil)
+		time.Sleep(20 * time.Millisecond)
+	}
+	qt.Assert(tst, srv.cons.Load(), qt.Equals, int32(3))
+}
+
+// Guards against taking a request that may have run for one that was not sent, and the other way round.
+func TestErrorsTellWhetherBytesLeft(tst *testing.T) {
+	pol := newPool()
+	defer closePool(pol)
+	srv := newServer(tst, func(net.Conn, *http.Request, int) bool { return false })
+	_, err := ask(tst.Context(), pol, srv.lst.Addr().String(), "1")
+	qt.Assert(tst, errors.Is(err, upstream.ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+	adr := srv.lst.Addr().String()
+	srv.lst.Close()
+	_, err = ask(tst.Context(), pol, adr, "2")
+	qt.Assert(tst, errors.Is(err, upstream.ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// Guards against an answer that was cut off and looks whole.
+func TestCutAnswerIsAnError(tst *testing.T) {
+	srv := newServer(tst, func(con net.Conn, req *http.Request, _ int) bool {
+		_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 100\r\n\r\npart", req.Header.Get("Id"))
+		return false
+	})
+	pol := newPool()
+	defer closePool(pol)
+	_, err := ask(tst.Context(), pol, srv.lst.Addr().String(), "1")
+	qt.Assert(tst, err, qt.IsNotNil)
+}
+
+// Guards against a backend server that works on for a caller who has left.
+func TestCancelClosesTheConnection(tst *testing.T) {
+	closed := make(chan struct{})
+	srv := newServer(tst, func(con net.Conn, _ *http.Request, _ int) bool {
+		defer close(closed)
+		_, err := con.Read(make([]byte, 1))
+		return err == nil
+	})
+	pol := newPool()
+	defer closePool(pol)
+	ctx, cancel := context.WithTimeout(tst.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := ask(ctx, pol, srv.lst.Addr().String(), "1")
+	qt.Assert(tst, err, qt.IsNotNil)
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		tst.Fatal("the connection stays open")
+	}
+}
