Tell daemons of requests that break connections; count suspensions; read what is left of large bodies

Cause: a request that crashes backend servers comes again at any daemon, and only the one that saw it knew; the monotonic clock stands still while a VM is suspended, so that a lease looked young; TestRefusalsOfBadRequests failed once in 9 runs: a body over the limit was answered with bytes unread, and the reset lost the answer on its way.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -40,7 +40,7 @@
 		evt, err := readEvent(rdr)
 		if err != nil && !errors.Is(err, io.EOF) {
 			ans.Finish(false)
-			return unknown, run.broken(ctx, watch, server, err)
+			return unknown, run.broken(ctx, watch, pick.Server, err)
 		}
 		if len(evt) > 0 {
 			pick.Began()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -24,6 +23,8 @@
 const (
 	// longestRequest bounds requests whose caller and route state no time.
 	longestRequest = 2 * time.Minute
+	// drainSize is the size up to which the rest of a body that is too large is read before the answer.
+	drainSize = 1 << 20
 	// defaultBodySize bounds bodies while the configuration states no limit.
 	defaultBodySize = 4 << 20
 )
@@ -180,16 +181,14 @@
 		limit = defaultBodySize
 	}
 	tooLarge := refusal.New(refusal.NotRun, http.StatusRequestEntityTooLarge, "Body too large", "the body exceeds the configured size", 0)
-	if run.htr.ContentLength > int64(limit) {
-		return tooLarge
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(run.wrt, run.htr.Body, int64(limit)))
-	var mbe *http.MaxBytesError
+	body, err := io.ReadAll(io.LimitReader(run.htr.Body, int64(limit)+1))
 	switch {
-	case errors.As(err, &mbe):
-		return tooLarge
 	case err != nil:
 		return refusal.Invalid("the body ended early")
+	case len(body) > limit:
+		// A connection that is closed with bytes unread is reset, which can lose the answer on its way.
+		_, _ = io.CopyN(io.Discard, run.htr.Body, drainSize)
+		return tooLarge
 	}
 	run.body = body
 	return nil
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,6 +13,7 @@
 	"github.com/cumintally/cumintally/internal/placement"
 	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/refusal"
+	"github.com/cumintally/cumintally/internal/roster"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
@@ -200,13 +202,16 @@
 	}
 	if err != nil {
 		run.runs++
-		return unknown, run.broken(ctx, watch, srv.ID, err)
+		return unknown, run.broken(ctx, watch, srv, err)
 	}
 	return run.take(ctx, watch, pick, ans)
 }
 
 // broken notes a connection that ended before the answer did.
-func (run *run) broken(ctx context.Context, watch *stallWatch, server string, err error) error {
+func (run *run) broken(ctx context.Context, watch *stallWatch, srv *roster.Server, err error) error {
+	server := srv.ID
+	// A process that starts again under its ID can crash again.
+	event := server + "/" + strconv.FormatInt(srv.Born, 10)
 	now := run.rly.clk.Now()
 	switch {
 	case watch.stalled():
@@ -222,7 +227,7 @@
 		run.rly.brd.Failed(server, now)
 		run.rly.sea.ReportCrash(quarantine.Crash{
 			Fingerprint: run.fingerprint,
-			Event:       server,
+			Event:       event,
 		}, now)
 	}
 	return errors.Trace(err)
@@ -283,7 +288,7 @@
 	if isEventStream(ans) && ans.StatusCode == http.StatusOK {
 		return run.passEvents(ctx, watch, pick, ans, ver)
 	}
-	return run.passWhole(ctx, watch, server, ans, ver)
+	return run.passWhole(ctx, watch, pick.Server, ans, ver)
 }
 
 // note logs a send that gave no answer for the caller.
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/cumintally/cumintally/internal/roster"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
@@ -35,14 +36,15 @@
 const errLarge = errors.ConstError("relay: answer too large to hold")
 
 // passWhole passes an answer on that is no stream of events.
-func (run *run) passWhole(ctx context.Context, watch *stallWatch, server string, ans *upstream.Answer, ver Verdict) (outcome, error) {
+func (run *run) passWhole(ctx context.Context, watch *stallWatch, srv *roster.Server, ans *upstream.Answer, ver Verdict) (outcome, error) {
+	server := srv.ID
 	body, err := readWhole(ans)
 	if errors.Is(err, errLarge) {
 		return run.passLarge(server, ans, ver, body)
 	}
 	if err != nil {
 		ans.Finish(false)
-		return unknown, run.broken(ctx, watch, server, err)
+		return unknown, run.broken(ctx, watch, srv, err)
 	}
 	ans.Finish(true)
 	whl := &wholeAnswer{
--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -18,12 +18,13 @@
 	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/peer"
 	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/settings"
 )
 
 const (
-	// kindLoad is the kind of the frames that carry loadview.Announcement.
-	kindLoad = "Load"
+	// kindWord is the kind of the frames that carry a word.
+	kindWord = "Word"
 	// nameKey is the name of the object that holds the key of the daemons.
 	nameKey = "peers"
 	// keySize is the size of that key in bytes; it is used with a hash of 256 bits.
@@ -36,6 +37,15 @@
 	keyPause = time.Second
 )
 
+// word is what a daemon tells the others: its work in progress, and requests that broke connections since it last
+// spoke. Such a request may crash each backend server that runs it, and comes again at any daemon.
+type word struct {
+	_ struct{} `cbor:",toarray"`
+
+	Load    loadview.Announcement
+	Crashes []quarantine.Crash
+}
+
 // peers tells the other daemons what this one has in progress.
 type peers struct {
 	set *settings.Settings
@@ -52,6 +62,8 @@
 	// resting holds until when a peer is left alone, and busy those to which a frame is on its way.
 	resting map[string]time.Time
 	busy    map[string]bool
+	// crashes are those not told yet.
+	crashes []quarantine.Crash
 }
 
 func newMesh(set *settings.Settings, met metrics.Registry, log *zap.Logger) *peer.Mesh {
@@ -72,6 +84,7 @@
 	msh *peer.Mesh,
 	viw *loadview.View,
 	plm *placement.Placement,
+	qua *quarantine.Quarantine,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *peers {
@@ -88,12 +101,15 @@
 		resting:  map[string]time.Time{},
 		busy:     map[string]bool{},
 	}
-	msh.Handle(kindLoad, func(_ context.Context, from peer.Identity, body []byte) (any, error) {
-		var ann loadview.Announcement
-		if err := peer.Decode(body, &ann); err != nil {
+	msh.Handle(kindWord, func(_ context.Context, from peer.Identity, body []byte) (any, error) {
+		var wrd word
+		if err := peer.Decode(body, &wrd); err != nil {
 			return nil, errors.Trace(err)
 		}
-		viw.Take(from.Name, ann, clk.Now())
+		viw.Take(from.Name, wrd.Load, clk.Now())
+		for _, crs := range wrd.Crashes {
+			qua.Record(crs, clk.Now())
+		}
 		return nil, nil
 	})
 	return prs
@@ -115,18 +131,42 @@
 		prs.sleep(ctx, keyPause)
 	}
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-		ann := loadview.Announcement{
-			Instance: prs.instance,
-			Sequence: sequence,
-			Loads:    prs.plm.Loads(),
+		wrd := word{
+			Load: loadview.Announcement{
+				Instance: prs.instance,
+				Sequence: sequence,
+				Loads:    prs.plm.Loads(),
+			},
+			Crashes: prs.takeCrashes(),
 		}
 		for name, adr := range prs.src.peers() {
-			prs.announce(ctx, name, adr, ann)
+			prs.announce(ctx, name, adr, wrd)
 		}
 		prs.sleep(ctx, loadview.Interval(prs.src.countDaemons()))
 	}
 }
 
+// maxCrashes bounds the crashes in one word: as many as a daemon has requests in progress at a group or two.
+const maxCrashes = 64
+
+// tell makes a crash known to the other daemons with the next word.
+func (prs *peers) tell(crs quarantine.Crash) {
+	prs.log.Info("a request broke a connection", zap.String("fingerprint", string(crs.Fingerprint)), zap.String("event", crs.Event))
+	prs.mu.Lock()
+	defer prs.mu.Unlock()
+	if len(prs.crashes) < maxCrashes {
+		prs.crashes = append(prs.crashes, crs)
+	}
+}
+
+func (prs *peers) takeCrashes() []quarantine.Crash {
+	prs.mu.Lock()
+	defer prs.mu.Unlock()
+	crss := prs.crashes
+	prs.crashes = nil
+	return crss
+}
+
 // learnKey reads the key from the store, where the first daemon puts one.
 func (prs *peers) learnKey(ctx context.Context) error {
 	if prs.set.Peers.Key != "" {
@@ -166,7 +206,7 @@
 }
 
 // announce sends to one peer unless the last frame is still on its way.
-func (prs *peers) announce(ctx context.Context, name, adr string, ann loadview.Announcement) {
+func (prs *peers) announce(ctx context.Context, name, adr string, wrd word) {
 	now := prs.clk.Now()
 	prs.mu.Lock()
 	defer prs.mu.Unlock()
@@ -177,7 +217,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 		defer cancel()
-		err := prs.msh.Send(ctx, adr, kindLoad, ann)
+		err := prs.msh.Send(ctx, adr, kindWord, wrd)
 		prs.mu.Lock()
 		defer prs.mu.Unlock()
 		prs.busy[name] = false
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/cumintally/cumintally/internal/allocationbook"
+	"github.com/cumintally/cumintally/internal/bootclock"
 	"github.com/cumintally/cumintally/internal/coldgate"
 	"github.com/cumintally/cumintally/internal/formation"
 	"github.com/cumintally/cumintally/internal/health"
@@ -36,7 +37,7 @@
 
 // providers makes every part of the daemon; dig orders them by what they need.
 var providers = []any{
-	clockwork.NewRealClock,
+	bootclock.New,
 	metrics.NewRegistry,
 	newStore,
 	inventory.New,
@@ -141,6 +142,7 @@
 	pol *upstream.Pool,
 	bud *retrybudget.Budget,
 	qua *quarantine.Quarantine,
+	prs *peers,
 	brd *health.Board,
 	met metrics.Registry,
 	clk clockwork.Clock,
@@ -156,7 +158,11 @@
 			ver, _ := qua.Verdict(fpr, now)
 			return ver
 		},
-		ReportCrash: func(crs quarantine.Crash, now time.Time) { qua.Record(crs, now) },
+		ReportCrash: func(crs quarantine.Crash, now time.Time) {
+			if qua.Record(crs, now) {
+				prs.tell(crs)
+			}
+		},
 	}
 	return relay.New(platform.Format(), sea, brd, met, clk, log)
 }
