--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -114,6 +114,19 @@
 	}
 }
 
+// Count returns the number of distinct crashes that count against a fingerprint.
+func (qua *Quarantine) Count(fpr Fingerprint, now time.Time) int {
+	qua.mu.Lock()
+	defer qua.mu.Unlock()
+	num := 0
+	for _, when := range qua.crashes[fpr] {
+		if now.Sub(when) < Period {
+			num++
+		}
+	}
+	return num
+}
+
 // Crashes returns all crashes that still count.
 func (qua *Quarantine) Crashes(now time.Time) []Crash {
 	qua.mu.Lock()
--- a/internal/relay/final.go
+++ b/internal/relay/final.go
@@ -120,7 +120,15 @@
 		fields = append(fields, zap.Uint64("configuration", run.table.Config.Version))
 	}
 	if run.route != nil {
-		fields = append(fields, zap.String("route", run.route.Name))
+		fields = append(fields, zap.String("route", run.route.Name), zap.Duration("objective", run.route.Objective))
+	}
+	if srv := run.pick.Server; srv != nil {
+		fields = append(fields,
+			zap.String("server", srv.ID),
+			zap.Uint64("entryVersion", srv.Version),
+			zap.Int("candidates", run.pick.Candidates),
+			zap.Duration("forecast", run.pick.Forecast),
+		)
 	}
 	if !run.firstAt.IsZero() {
 		fields = append(fields, zap.Duration("first", run.firstAt.Sub(run.start)))
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -74,7 +74,7 @@
 	// CountRequest and TakeRepeat keep the budget of repeats of a service.
 	CountRequest func(service string, now time.Time)
 	TakeRepeat   func(service string, now time.Time) bool
-	// Suspicion says how a request may run, and ReportCrash notes that a backend server crashed while it ran.
-	Suspicion   func(fpr quarantine.Fingerprint, now time.Time) quarantine.Verdict
+	// Quarantined reports whether a request must not run, and ReportCrash notes that a connection broke while it ran.
+	Quarantined func(fpr quarantine.Fingerprint, now time.Time) bool
 	ReportCrash func(crs quarantine.Crash, now time.Time)
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -81,6 +81,8 @@
 	// lastEvent is the ID of the last event that the caller got, lastAt when that was.
 	lastEvent string
 	lastAt    time.Time
+	// pick is the latest choice of a backend server.
+	pick placement.Pick
 	// busyFor is how much too late the first token would have come.
 	busyFor time.Duration
 	// kept is a backend server's own failure, delivered if sending once more gives nothing better.
@@ -92,7 +94,7 @@
 	rly := run.rly
 	rly.met.requests.Inc(1)
 	rly.sea.CountRequest(run.service.Name, run.start)
-	if rly.sea.Suspicion(run.fingerprint, run.start) == quarantine.Quarantined {
+	if rly.sea.Quarantined(run.fingerprint, run.start) {
 		run.refuse(refusal.Unavailable("the request crashed backend servers and is quarantined", quarantine.Period))
 		return
 	}
@@ -184,6 +186,7 @@
 func (run *run) attempt(ctx context.Context, pick placement.Pick) (outcome, error) {
 	rly := run.rly
 	run.sends++
+	run.pick = pick
 	srv := pick.Server
 	con, err := rly.sea.Connect(ctx, srv.Address)
 	if err != nil {
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -154,9 +154,8 @@
 		Connect:      pol.Get,
 		CountRequest: bud.Request,
 		TakeRepeat:   bud.Repeat,
-		Suspicion: func(fpr quarantine.Fingerprint, now time.Time) quarantine.Verdict {
-			ver, _ := qua.Verdict(fpr, now)
-			return ver
+		Quarantined: func(fpr quarantine.Fingerprint, now time.Time) bool {
+			return qua.Count(fpr, now) >= crashesToQuarantine
 		},
 		ReportCrash: func(crs quarantine.Crash, now time.Time) {
 			if qua.Record(crs, now) {
@@ -203,6 +202,10 @@
 	return steward.New(cfg, sea, les, inv, bok, clk, log)
 }
 
+// crashesToQuarantine is the number of backend servers that must have broken off a request before it is refused. A
+// request whose stream is resumed can be in two breaks that it did not cause, as when a zone is lost.
+const crashesToQuarantine = 3
+
 // seekers is the number of daemons that look often at a lease that another one holds; one of them may fail.
 const seekers = 3
 
