--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -33,6 +33,8 @@
 	// gatherMost bounds the pause: a backend server that leaves must get no new work after two seconds.
 	gatherEach = 18 * time.Millisecond
 	gatherMost = 1300 * time.Millisecond
+	// gatherDaemons is the pause after daemons came: a site that starts registers all of them.
+	gatherDaemons = 2 * time.Second
 	// gatherOthers is the pause after changes of other kinds.
 	gatherOthers = 30 * time.Millisecond
 	// unknownDaemons is the number of daemons that is assumed before the store has said.
@@ -91,8 +93,8 @@
 	src.follow(platform.KindServer, src.gatherServers, src.takeServers)
 	src.follow(platform.KindConfig, func() time.Duration { return gatherOthers }, src.takeConfig)
 	src.follow(platform.KindEvacuation, func() time.Duration { return gatherOthers }, src.takeEvacuations)
-	src.follow(objects.KindAllocation, func() time.Duration { return gatherOthers }, src.takeAllocations)
-	src.follow(objects.KindDaemon, func() time.Duration { return gatherOthers }, src.takeDaemons)
+	src.follow(objects.KindAllocation, src.gatherMany, src.takeAllocations)
+	src.follow(objects.KindDaemon, func() time.Duration { return gatherDaemons }, src.takeDaemons)
 	return src
 }
 
@@ -108,6 +110,11 @@
 	if src.les.Held() {
 		return gatherLeading
 	}
+	return src.gatherMany()
+}
+
+// gatherMany is the pause for kinds that change often, by the number of daemons that watch them.
+func (src *sources) gatherMany() time.Duration {
 	return min(max(gatherServers, time.Duration(src.countDaemons())*gatherEach), gatherMost)
 }
 
