--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,7 +39,6 @@
 	log *zap.Logger
 
 	draining atomic.Bool
-	active   sync.WaitGroup
 	mu       sync.Mutex
 	inFlight int
 }
--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/json"
 	mrand "math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,8 +63,14 @@
 	// resting holds until when a peer is left alone, and busy those to which a frame is on its way.
 	resting map[string]time.Time
 	busy    map[string]bool
-	// crashes are those not told yet.
-	crashes []quarantine.Crash
+	// crashes are those that are told with each word until they are tellFor old.
+	crashes []toldCrash
+}
+
+// toldCrash is a crash that this daemon saw.
+type toldCrash struct {
+	crash quarantine.Crash
+	at    time.Time
 }
 
 func newMesh(set *settings.Settings, met metrics.Registry, log *zap.Logger) *peer.Mesh {
@@ -137,7 +144,7 @@
 				Sequence: sequence,
 				Loads:    prs.plm.Loads(),
 			},
-			Crashes: prs.takeCrashes(),
+			Crashes: prs.freshCrashes(),
 		}
 		for name, adr := range prs.src.peers() {
 			prs.announce(ctx, name, adr, wrd)
@@ -146,6 +153,9 @@
 	}
 }
 
+// tellFor is the time for which a crash is told: a peer may miss some words while its connection is made anew.
+const tellFor = 2 * time.Second
+
 // maxCrashes bounds the crashes in one word: as many as a daemon has requests in progress at a group or two.
 const maxCrashes = 64
 
@@ -155,15 +165,23 @@
 	prs.mu.Lock()
 	defer prs.mu.Unlock()
 	if len(prs.crashes) < maxCrashes {
-		prs.crashes = append(prs.crashes, crs)
+		prs.crashes = append(prs.crashes, toldCrash{
+			crash: crs,
+			at:    prs.clk.Now(),
+		})
 	}
 }
 
-func (prs *peers) takeCrashes() []quarantine.Crash {
+// freshCrashes returns the crashes to tell, and forgets those that have been told for long enough.
+func (prs *peers) freshCrashes() []quarantine.Crash {
 	prs.mu.Lock()
 	defer prs.mu.Unlock()
-	crss := prs.crashes
-	prs.crashes = nil
+	prs.crashes = slices.DeleteFunc(prs.crashes, func(tld toldCrash) bool { return prs.clk.Since(tld.at) > tellFor })
+	crss := make([]quarantine.Crash, 0, len(prs.crashes))
+	for _, tld := range prs.crashes {
+		tld.crash.Age = prs.clk.Since(tld.at)
+		crss = append(crss, tld.crash)
+	}
 	return crss
 }
 
