--- a/Makefile
+++ b/Makefile
@@ -38,8 +38,13 @@
 $(BIN)/golangci-lint: tools/go.mod
 	$(GO) build -C tools -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
 
+.PHONY: have-spin
+# Says what is missing before anything runs.
+have-spin:
+	@command -v spin >/dev/null || { echo "SPIN is missing: install the package spin" >&2; exit 1; }
+
 # Checks the models with SPIN; each mutation must be reported as a violation.
-spec:
+spec: have-spin
 	spec/check.sh
 
 FUZZERS := ./internal/objects:FuzzAnswers ./internal/backend:FuzzReport ./internal/backend:FuzzFrames \
@@ -60,7 +65,7 @@
 	$(GO) test ./test/config -v -count=1 -run Burst -daemons 64
 
 prove-groups: SHELL := /bin/bash
-prove-groups:
+prove-groups: have-spin
 	set -o pipefail; CUMINTALLY_PROVE=1 $(GO) test ./internal/group ./internal/lease ./internal/zoneorder -run 'Plan|OneHolder|Orders' \
 		-count=1 -v -rapid.checks=10000 -rapid.seed=$(SEED) | grep -E '^(invariant|FAIL|ok)|_test.go'
 	set -o pipefail; $(GO) test ./test/groups -count=1 -v -args -seed $(SEED) -steps 12 | grep -E '^(invariant|figure|script|FAIL|ok)|_test.go'
@@ -75,7 +80,7 @@
 prove-streams:
 	$(GO) test ./test/requests -run TestProveStreams -count=1 -timeout 10m -v -streams 2000 -seed $(SEED)
 
-prove-bookings:
+prove-bookings: have-spin
 	$(GO) test ./test/bookings -count=1 -timeout 20m -run Failures -v -bookings 500 -seeds 4 -seed $(SEED)
 	spec/bookings/check.sh
 
--- /dev/null
+++ b/cmd/cumintally-standin/doc.go
@@ -0,0 +1,2 @@
+// Command cumintally-standin runs stand-ins of the outside systems, for tests and measurement only.
+package main
--- a/cmd/cumintally/main.go
+++ b/cmd/cumintally/main.go
@@ -1,4 +1,3 @@
-// Command cumintally serves large language models whose replicas span several VMs.
 package main
 
 import (
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -18,6 +17,7 @@
 	"github.com/cumintally/cumintally/internal/dispatch"
 	"github.com/cumintally/cumintally/internal/gossip"
 	"github.com/cumintally/cumintally/internal/inventory"
+	"github.com/cumintally/cumintally/internal/listening"
 	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/operator"
 	"github.com/cumintally/cumintally/internal/peer"
@@ -86,18 +86,21 @@
 	log := ent.dep.Log.Named("entry")
 	peers := http.NewServeMux()
 	peers.Handle(peer.Path, ent.dep.Mesh)
-	servers, err := listen([]listener{
+	servers, err := listening.Open([]listening.Listener{
 		{
-			address: set.Listen.Peers,
-			handler: peers,
+			Address:       set.Listen.Peers,
+			Handler:       peers,
+			HeaderTimeout: headerTimeout,
 		},
 		{
-			address: set.Listen.Operators,
-			handler: ent.dep.Operator.Routes(),
+			Address:       set.Listen.Operators,
+			Handler:       ent.dep.Operator.Routes(),
+			HeaderTimeout: headerTimeout,
 		},
 		{
-			address: set.Listen.Callers,
-			handler: ent.dep.Caller.Routes(),
+			Address:       set.Listen.Callers,
+			Handler:       ent.dep.Caller.Routes(),
+			HeaderTimeout: headerTimeout,
 		},
 	})
 	if err != nil {
@@ -136,34 +139,3 @@
 		wgr.Go(func() { fol.follow(ctx, kind) })
 	}
 }
-
-type listener struct {
-	address string
-	handler http.Handler
-}
-
-// listen opens every listener before any serves, so that a wrong address stops the start.
-func listen(lsts []listener) ([]*http.Server, error) {
-	var cons []net.Listener
-	for _, lst := range lsts {
-		con, err := net.Listen("tcp", lst.address)
-		if err != nil {
-			for _, open := range cons {
-				open.Close()
-			}
-			return nil, errors.Annotatef(err, "listen on %s", lst.address)
-		}
-		cons = append(cons, con)
-	}
-	var servers []*http.Server
-	for idx, lst := range lsts {
-		srv := &http.Server{
-			Handler:           lst.handler,
-			ReadHeaderTimeout: headerTimeout,
-			MaxHeaderBytes:    64 << 10,
-		}
-		servers = append(servers, srv)
-		go func() { _ = srv.Serve(cons[idx]) }()
-	}
-	return servers, nil
-}
--- a/internal/entry/orderclient.go
+++ b/internal/entry/orderclient.go
@@ -3,12 +3,10 @@
 import (
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/cumintally/cumintally/internal/backend"
+	"github.com/cumintally/cumintally/internal/socket"
 )
 
 // newOrderClient returns a client for orders. While this process is paused it cannot close a connection at
@@ -27,15 +25,6 @@
 func orderDialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: timeout,
-		Control: func(_, _ string, con syscall.RawConn) error {
-			var failed error
-			err := con.Control(func(dsc uintptr) {
-				failed = unix.SetsockoptInt(int(dsc), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return failed
-		},
+		Control: socket.GiveUpAfter(timeout),
 	}
 }
--- /dev/null
+++ b/internal/listening/doc.go
@@ -0,0 +1,2 @@
+// Package listening opens the listeners of a daemon and serves on them.
+package listening
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -5,14 +5,12 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
 	"github.com/cumintally/cumintally/internal/allocationbook"
 	"github.com/cumintally/cumintally/internal/bootclock"
@@ -30,6 +28,7 @@
 	"github.com/cumintally/cumintally/internal/roster"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/settings"
+	"github.com/cumintally/cumintally/internal/socket"
 	"github.com/cumintally/cumintally/internal/steward"
 	"github.com/cumintally/cumintally/internal/upstream"
 	"github.com/cumintally/cumintally/platform"
@@ -60,24 +59,15 @@
 // storeDialTimeout bounds a new connection to the store, which answers in milliseconds.
 const storeDialTimeout = 500 * time.Millisecond
 
-// unackedTimeout is the time after which the kernel gives up a connection whose bytes are not acknowledged: a VM
-// without power or behind a partition does not answer at all.
+// unackedTimeout is the time after which the kernel gives up a connection whose bytes are not acknowledged: about
+// that after which callers leave a stream without events.
 const unackedTimeout = 2 * time.Second
 
 // dial opens a connection on which the kernel gives up after unackedTimeout.
 func dial(ctx context.Context, network, adr string) (net.Conn, error) {
 	dlr := net.Dialer{
 		KeepAlive: -1,
-		Control: func(_, _ string, con syscall.RawConn) error {
-			var failed error
-			err := con.Control(func(fd uintptr) {
-				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return failed
-		},
+		Control:   socket.GiveUpAfter(unackedTimeout),
 	}
 	return dlr.DialContext(ctx, network, adr)
 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -15,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/exposition"
+	"github.com/cumintally/cumintally/internal/listening"
 	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/peer"
 	"github.com/cumintally/cumintally/internal/relay"
@@ -28,8 +28,6 @@
 	// a connection may be idle. Both are above what configurations set, so that no client is cut off early.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
-	// maxHeaderSize is the size of headers in bytes that is read; the configuration sets a lower limit.
-	maxHeaderSize = 64 << 10
 	// trimInterval is the time between two looks at idle connections and forgotten backend servers.
 	trimInterval = time.Second
 )
@@ -129,57 +127,34 @@
 	}
 }
 
-// listen opens every listener before any serves, so that a wrong address stops the start. The callers' server is
-// the first.
+// listen opens the daemon's listeners.
 func (ste *Site) listen() ([]*http.Server, error) {
 	set := ste.dep.Settings.Listen
-	handlers := []struct {
-		address string
-		handler http.Handler
-	}{
+	lsts := []listening.Listener{
 		{
-			address: set.Callers,
-			handler: ste.dep.Relay,
+			Address: set.Callers,
+			Handler: ste.dep.Relay,
 		},
 		{
-			address: set.Readiness,
-			handler: ste.readiness(),
+			Address: set.Readiness,
+			Handler: ste.readiness(),
 		},
 		{
-			address: set.Peers,
-			handler: ste.dep.Mesh,
+			Address: set.Peers,
+			Handler: ste.dep.Mesh,
 		},
 		{
-			address: set.Metrics,
-			handler: ste.metrics(),
+			Address: set.Metrics,
+			Handler: ste.metrics(),
 		},
 	}
-	var servers []*http.Server
-	var cons []net.Listener
-	for _, hnd := range handlers {
-		if hnd.address == "" {
-			continue
-		}
-		con, err := net.Listen("tcp", hnd.address)
-		if err != nil {
-			for _, open := range cons {
-				open.Close()
-			}
-			return nil, errors.Annotatef(err, "listen on %s", hnd.address)
-		}
-		cons = append(cons, con)
-		servers = append(servers, &http.Server{
-			Handler:           hnd.handler,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderSize,
-			ErrorLog:          zap.NewStdLog(ste.dep.Log.Named("http")),
-		})
-	}
-	for idx, srv := range servers {
-		go func() { _ = srv.Serve(cons[idx]) }()
+	for idx := range lsts {
+		lsts[idx].HeaderTimeout = headerTimeout
+		lsts[idx].IdleTimeout = idleTimeout
+		lsts[idx].ErrorLog = zap.NewStdLog(ste.dep.Log.Named("http"))
 	}
-	return servers, nil
+	servers, err := listening.Open(lsts)
+	return servers, errors.Trace(err)
 }
 
 func (ste *Site) readiness() http.Handler {
--- /dev/null
+++ b/internal/socket/doc.go
@@ -0,0 +1,2 @@
+// Package socket sets options of connections that the standard library has no setting for.
+package socket
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -30,7 +30,7 @@
 	}
 	var doc Document
 	if err := decode(data, &doc); err != nil {
-		return nil, errors.Annotatef(ErrInvalid, "%s: %s", name, strings.TrimSpace(yaml.FormatError(err, false, true)))
+		return nil, errors.Annotatef(ErrInvalid, "%s: %s", name, shortened(strings.TrimSpace(yaml.FormatError(err, false, true))))
 	}
 	if err := doc.checkReferences(); err != nil {
 		return nil, errors.Annotatef(ErrInvalid, "%s: %v", name, err)
@@ -38,6 +38,20 @@
 	return &doc, nil
 }
 
+// maxLine is the number of characters of a line of a document that an error shows.
+const maxLine = 200
+
+// shortened cuts the long lines of a message, which quotes the document.
+func shortened(text string) string {
+	lines := strings.Split(text, "\n")
+	for idx, line := range lines {
+		if chrs := []rune(line); len(chrs) > maxLine {
+			lines[idx] = string(chrs[:maxLine]) + "..."
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
 // maxNesting bounds the nesting of brackets. The time of the YAML library grows with its square: 100,000
 // open brackets took 33 s. A document needs three levels; brackets within texts count too.
 const maxNesting = 100
--- /dev/null
+++ b/test/requests/doc.go
@@ -0,0 +1,2 @@
+// Package requests holds the failure tests of requests: daemons, engines and a platform as separate processes.
+package requests
