Let only the holder of the lease read allocations

Cause: every daemon of a grown site watched allocations, only to leave out groups that are about to be closed; their heads say so themselves a moment later, and refuse what still comes as not run.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -48,8 +48,6 @@
 	Roster func() *roster.View
 	// InService reports whether a zone may get requests.
 	InService func(zone string) bool
-	// Draining reports whether a group is to be closed and takes no new work.
-	Draining func(srv *roster.Server) bool
 	// Others returns what the other daemons have in progress at a backend server.
 	Others func(server string, now time.Time) loadview.Load
 }
@@ -184,7 +182,7 @@
 		return false
 	}
 	mod := model(want)
-	return mod != nil && viw.Members(srv.Place) >= mod.VMs && !viw.Leaving(srv.Place) && !plm.sea.Draining(srv)
+	return mod != nil && viw.Members(srv.Place) >= mod.VMs && !viw.Leaving(srv.Place)
 }
 
 // best returns the index of the backend server with the best score, and the forecast of its first token.
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -81,6 +81,7 @@
 		row("Site", "ColdExcess", "1", "factor on the rate that a cold backend server states, over all daemons", fraction(&set.Site.ColdExcess, 0, 10)),
 		row("Site", "ColdReserve", "0", "requests per second at a cold backend server beyond its rate", integer(&set.Site.ColdReserve, 0, 1000000)),
 		row("Site", "StallTime", "4s", "time for which a group works on without a member", duration(&set.Site.StallTime, 100*time.Millisecond, time.Minute)),
+		row("Site", "KnowWithin", "2s", "time within which a change in the store must be known", duration(&set.Site.KnowWithin, 100*time.Millisecond, time.Minute)),
 		row("Site", "FirstStart", "false", "whether the whole site starts for the first time", yesNo(&set.Site.FirstStart)),
 		row("Site", "MemoryLimit", "0", "memory of the process in megabytes, 0 for no limit", integer(&set.Site.MemoryLimit, 0, 1<<20)),
 		row("Log", "Level", "info", "least severe level that is logged", oneOf(&set.Log.Level, "debug", "info", "warn", "error")),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -138,6 +138,8 @@
 	ColdReserve int
 	// StallTime is the time for which a group works on without a member.
 	StallTime time.Duration
+	// KnowWithin is the time within which a change in the store must be known.
+	KnowWithin time.Duration
 	// FirstStart says that the whole site starts for the first time.
 	FirstStart bool
 	// MemoryLimit is the memory in megabytes that the process may use, 0 for no limit.
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -120,7 +120,6 @@
 	sea := placement.Seams{
 		Roster:    src.roster.View,
 		InService: func(zone string) bool { return !inv.Zone(zone).Out },
-		Draining:  src.draining,
 		Others:    viw.Others,
 	}
 	return placement.New(cfg, sea, brd, gte)
--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -30,9 +30,9 @@
 	gatherServers = 250 * time.Millisecond
 	gatherLeading = 40 * time.Millisecond
 	// gatherEach is added for each daemon, so that the calls of all of them grow little with the fleet, and
-	// gatherMost bounds the pause: a backend server that leaves must get no new work after two seconds.
-	gatherEach = 18 * time.Millisecond
-	gatherMost = 1300 * time.Millisecond
+	// gatherShare bounds the pause by the time within which a change must be known.
+	gatherEach  = 18 * time.Millisecond
+	gatherShare = 0.6
 	// gatherDaemons is the pause after daemons came: a site that starts registers all of them.
 	gatherDaemons = 2 * time.Second
 	// gatherOthers is the pause after changes of other kinds.
@@ -93,7 +93,6 @@
 	src.follow(platform.KindServer, src.gatherServers, src.takeServers)
 	src.follow(platform.KindConfig, func() time.Duration { return gatherOthers }, src.takeConfig)
 	src.follow(platform.KindEvacuation, func() time.Duration { return gatherOthers }, src.takeEvacuations)
-	src.follow(objects.KindAllocation, src.gatherMany, src.takeAllocations)
 	src.follow(objects.KindDaemon, func() time.Duration { return gatherDaemons }, src.takeDaemons)
 	return src
 }
@@ -110,12 +109,8 @@
 	if src.les.Held() {
 		return gatherLeading
 	}
-	return src.gatherMany()
-}
-
-// gatherMany is the pause for kinds that change often, by the number of daemons that watch them.
-func (src *sources) gatherMany() time.Duration {
-	return min(max(gatherServers, time.Duration(src.countDaemons())*gatherEach), gatherMost)
+	most := time.Duration(float64(src.set.Site.KnowWithin) * gatherShare)
+	return min(max(gatherServers, time.Duration(src.countDaemons())*gatherEach), most)
 }
 
 func (src *sources) run(ctx context.Context, wgr *sync.WaitGroup) {
@@ -283,12 +278,6 @@
 	}
 }
 
-func (src *sources) takeAllocations(objs []objects.Object, _ bool) {
-	for _, obj := range objs {
-		src.inv.TakeAllocation(context.Background(), obj)
-	}
-}
-
 func (src *sources) takeDaemons(objs []objects.Object, whole bool) {
 	src.mu.Lock()
 	defer src.mu.Unlock()
@@ -332,24 +321,9 @@
 	return len(src.daemons)
 }
 
-// draining reports whether a group is to be closed.
-func (src *sources) draining(srv *roster.Server) bool {
-	alc, ver := src.inv.Allocation(srv.Domain)
-	if ver == 0 || alc.AvailabilityZone != srv.Zone {
-		return false
-	}
-	for _, grp := range alc.Groups {
-		if grp.Name == srv.Place.Group && grp.Fencing == srv.Place.Epoch {
-			return grp.Draining
-		}
-	}
-	// The allocation has moved on: the group is about to be closed.
-	return true
-}
-
-// settled reports whether the copies that the planner uses have been current for at least span.
+// settled reports whether the copy of the registry has been current for at least span.
 func (src *sources) settled(span time.Duration) bool {
-	return src.fols[platform.KindServer].Settled(span) && src.fols[objects.KindAllocation].Settled(0)
+	return src.fols[platform.KindServer].Settled(span)
 }
 
 // ready reports whether the daemon can serve: it knows the configuration and the backend servers.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -15,6 +15,7 @@
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/lease"
 	"github.com/cumintally/cumintally/internal/logging"
+	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/roster"
 	"github.com/cumintally/cumintally/internal/route"
 )
@@ -190,6 +191,10 @@
 		for _, chg := range group.Plan(sit.view(&sit.domains[idx])) {
 			if err := stw.bok.Write(ctx, chg.Allocation); err != nil {
 				stw.log.Warn("cannot write an allocation", zap.String("domain", chg.Allocation.FabricDomain), logging.Error(err))
+				if errors.Is(err, objects.ErrConflict) {
+					// Another holder, or an own write whose answer was lost, was first.
+					stw.leading = false
+				}
 				return
 			}
 			stw.logPlan(chg.Allocation)
