Send no more requests to engines that are silent

Cause: for 0.9 s after a group lost a member every daemon went on choosing it, since it takes requests and its load looks low. Ruled out: a shorter time until streams are given up (their callers are late in any case, and each costs a repeat).

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -30,6 +30,9 @@
 	// zoneDistance is the cost of another zone: about the load difference at which the transfer between zones
 	// is worth it.
 	zoneDistance = 25 * time.Millisecond
+	// silence is the time without a byte after which an engine with requests in progress gets no more: several times
+	// the pause between two events of a full batch.
+	silence = 400 * time.Millisecond
 	// near is the part of the best score within which another backend server is as good.
 	near = 0.05
 )
@@ -91,10 +94,11 @@
 	routers map[routerKey]*router.Router
 }
 
-// work is what this daemon has in progress at a backend server.
+// work is what this daemon has in progress at a backend server, without a pause since a time.
 type work struct {
 	requests int
 	unread   int
+	since    time.Time
 }
 
 type routerKey struct {
@@ -120,7 +124,7 @@
 	srvs := plm.candidates(want, now)
 	// A server that failed this request, or that fails others, is better than none unless it is known to be gone.
 	sound := slices.DeleteFunc(slices.Clone(srvs), func(srv *roster.Server) bool {
-		return slices.Contains(want.Avoid, srv.ID) || !plm.brd.Usable(srv.ID, now)
+		return slices.Contains(want.Avoid, srv.ID) || !plm.brd.Usable(srv.ID, now) || (want.Service.Engine != nil && plm.silent(srv.ID, now))
 	})
 	if len(sound) == 0 && len(want.Avoid) == 0 {
 		sound = srvs
@@ -140,7 +144,7 @@
 			sound = slices.Delete(slices.Clone(sound), idx, idx+1)
 			continue
 		}
-		began, release := plm.begin(srv.ID, want.PromptTokens)
+		began, release := plm.begin(srv.ID, want.PromptTokens, now)
 		return Pick{
 			Server:     srv,
 			Began:      began,
@@ -153,6 +157,22 @@
 		want.Service.Name, want.Model, len(plm.sea.Roster().Service(want.Service.Name)), len(srvs), len(srvs))
 }
 
+// silent reports whether an engine has sent nothing for a while although this daemon has requests in progress there:
+// a group that lost a member takes requests on and answers none.
+func (plm *Placement) silent(id string, now time.Time) bool {
+	plm.mu.Lock()
+	own, ok := plm.own[id]
+	plm.mu.Unlock()
+	if !ok {
+		return false
+	}
+	last := own.since
+	if prg := plm.brd.LastProgress(id); prg.After(last) {
+		last = prg
+	}
+	return now.Sub(last) > silence
+}
+
 func (plm *Placement) coldRate(svc *route.Service) float64 {
 	return svc.ColdRate*plm.cfg.ColdExcess + plm.cfg.ColdReserve
 }
@@ -304,12 +324,14 @@
 }
 
 // begin counts a request at a backend server until release; its prompt counts as unread until began.
-func (plm *Placement) begin(id string, prompt int) (began, release func()) {
+func (plm *Placement) begin(id string, prompt int, now time.Time) (began, release func()) {
 	plm.mu.Lock()
 	defer plm.mu.Unlock()
 	own, ok := plm.own[id]
 	if !ok {
-		own = &work{}
+		own = &work{
+			since: now,
+		}
 		plm.own[id] = own
 	}
 	own.requests++
--- /dev/null
+++ b/internal/steward/steward_test.go
@@ -0,0 +1,326 @@
+package steward_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/cumintally/cumintally/internal/allocationbook"
+	"github.com/cumintally/cumintally/internal/formation"
+	"github.com/cumintally/cumintally/internal/inventory"
+	"github.com/cumintally/cumintally/internal/lease"
+	"github.com/cumintally/cumintally/internal/objects"
+	"github.com/cumintally/cumintally/internal/roster"
+	"github.com/cumintally/cumintally/internal/route"
+	"github.com/cumintally/cumintally/internal/steward"
+)
+
+const service = "engines"
+
+// memory is a store in memory.
+type memory struct {
+	mu       sync.Mutex
+	revision uint64
+	objects  map[string]objects.Object
+}
+
+func (mem *memory) store() objects.Store {
+	return objects.Store{
+		Get: func(_ context.Context, kind, name string) (objects.Object, error) {
+			mem.mu.Lock()
+			defer mem.mu.Unlock()
+			obj, ok := mem.objects[kind+"/"+name]
+			if !ok {
+				return obj, objects.ErrNotFound
+			}
+			return obj, nil
+		},
+		List: func(_ context.Context, kind string) ([]objects.Object, uint64, error) {
+			mem.mu.Lock()
+			defer mem.mu.Unlock()
+			var objs []objects.Object
+			for _, obj := range mem.objects {
+				if obj.Kind == kind {
+					objs = append(objs, obj)
+				}
+			}
+			return objs, mem.revision, nil
+		},
+		Put: func(_ context.Context, kind, name string, expected uint64, value []byte) (uint64, error) {
+			mem.mu.Lock()
+			defer mem.mu.Unlock()
+			if mem.objects[kind+"/"+name].Version != expected {
+				return 0, objects.ErrConflict
+			}
+			mem.revision++
+			mem.objects[kind+"/"+name] = objects.Object{
+				Kind:    kind,
+				Name:    name,
+				Version: mem.revision,
+				Value:   value,
+			}
+			return mem.revision, nil
+		},
+	}
+}
+
+// bench is a site of three zones with a domain of eight engines each, which obey orders at once.
+type bench struct {
+	tst     *testing.T
+	mem     *memory
+	rst     *roster.Roster
+	clk     *clockwork.FakeClock
+	tbl     *route.Table
+	settled bool
+
+	mu      sync.Mutex
+	version uint64
+	servers map[string]roster.Server
+	orders  []formation.Order
+	// fences are the numbers under which orders were given.
+	fences []uint64
+}
+
+func newBench(tst *testing.T) *bench {
+	bch := &bench{
+		tst:     tst,
+		mem:     &memory{objects: map[string]objects.Object{}},
+		rst:     roster.New(),
+		clk:     clockwork.NewFakeClock(),
+		settled: true,
+		servers: map[string]roster.Server{},
+		tbl: route.New(route.Config{
+			Services: []route.Service{
+				{
+					Name: service,
+					Engine: &route.Engine{
+						Models: []route.Model{
+							{
+								Name:  "large",
+								VMs:   4,
+								Share: 0.67,
+							},
+							{
+								Name:  "small",
+								VMs:   2,
+								Share: 0.33,
+							},
+						},
+						LoadRate:    4,
+						LoadsAtOnce: 6,
+					},
+				},
+			},
+		}),
+	}
+	for _, zone := range []string{"a", "b", "c"} {
+		for num := range 8 {
+			bch.add(fmt.Sprintf("vm-%s-%d", zone, num), zone)
+		}
+	}
+	return bch
+}
+
+func (bch *bench) add(id, zone string) {
+	bch.mu.Lock()
+	defer bch.mu.Unlock()
+	bch.set(roster.Server{
+		ID:      id,
+		Service: service,
+		Address: id + ":1",
+		Zone:    zone,
+		Domain:  "fabric-" + zone,
+		Born:    1,
+	})
+}
+
+// set registers a server's state; the lock is held.
+func (bch *bench) set(srv roster.Server) {
+	bch.version++
+	srv.Version = bch.version
+	bch.servers[srv.ID] = srv
+	bch.rst.Apply([]roster.Change{
+		{
+			Server: srv,
+		},
+	}, bch.clk.Now())
+}
+
+func (bch *bench) lose(id string) {
+	bch.mu.Lock()
+	defer bch.mu.Unlock()
+	bch.version++
+	delete(bch.servers, id)
+	bch.rst.Apply([]roster.Change{
+		{
+			Server: roster.Server{
+				ID:      id,
+				Version: bch.version,
+			},
+			Gone: true,
+		},
+	}, bch.clk.Now())
+}
+
+// obey carries an order out at once.
+func (bch *bench) obey(_ context.Context, ord formation.Order, fence uint64) error {
+	bch.mu.Lock()
+	defer bch.mu.Unlock()
+	bch.orders = append(bch.orders, ord)
+	bch.fences = append(bch.fences, fence)
+	srv, ok := bch.servers[ord.Server]
+	if !ok {
+		return fmt.Errorf("%s is gone", ord.Server)
+	}
+	switch ord.Verb {
+	case formation.Join:
+		srv.Models = []string{ord.Model}
+		srv.Place = roster.Place{
+			Group: ord.Group,
+			Epoch: ord.Epoch,
+			State: roster.Ready,
+		}
+		for rank, id := range ord.Members {
+			if id == ord.Server {
+				srv.Place.Rank = rank
+			}
+		}
+	case formation.Open:
+		srv.Place.State = roster.Open
+	case formation.Close:
+		srv.Place.State = roster.Ready
+	case formation.Leave:
+		srv.Place = roster.Place{}
+	case formation.Stage:
+		srv.Staged = []string{ord.Model}
+	}
+	bch.set(srv)
+	return nil
+}
+
+func (bch *bench) steward(name string) *steward.Steward {
+	pst := bch.mem.store()
+	les := lease.New(steward.Scope, name, 2*time.Second, pst, bch.clk)
+	inv := inventory.New(zap.NewNop())
+	sea := steward.Seams{
+		Table:    func() *route.Table { return bch.tbl },
+		Roster:   bch.rst.View,
+		Settled:  func(time.Duration) bool { return bch.settled },
+		Foremost: func() bool { return true },
+		Quiet:    func() bool { return false },
+		Order:    bch.obey,
+	}
+	cfg := steward.Config{
+		StallTime: 4 * time.Second,
+	}
+	return steward.New(cfg, sea, les, inv, allocationbook.New(pst, inv, les.Held), bch.clk, zap.NewNop())
+}
+
+// turns runs a steward's loop for a span of the fake clock.
+func (bch *bench) turns(stw *steward.Steward, span time.Duration) {
+	for end := bch.clk.Now().Add(span); bch.clk.Now().Before(end); bch.clk.Advance(150 * time.Millisecond) {
+		stw.Turn(bch.tst.Context())
+		// Orders are given apart from the loop; each is carried out before the next turn.
+		time.Sleep(3 * time.Millisecond)
+	}
+}
+
+// open returns the number of open groups of each model.
+func (bch *bench) open() map[string]int {
+	bch.mu.Lock()
+	defer bch.mu.Unlock()
+	open := map[string]int{}
+	for _, srv := range bch.servers {
+		if srv.Place.State == roster.Open {
+			open[srv.Models[0]]++
+		}
+	}
+	return open
+}
+
+// ordered returns the number of orders other than loads ahead of need.
+func (bch *bench) ordered() int {
+	bch.mu.Lock()
+	defer bch.mu.Unlock()
+	num := 0
+	for _, ord := range bch.orders {
+		if ord.Verb != formation.Stage {
+			num++
+		}
+	}
+	return num
+}
+
+func TestSiteFormsItsGroups(tst *testing.T) {
+	bch := newBench(tst)
+	bch.turns(bch.steward("entry-1"), 6*time.Second)
+	qt.Assert(tst, bch.open(), qt.DeepEquals, map[string]int{"large": 3, "small": 6})
+}
+
+// Guards against a plan that is made anew each turn: once groups stand, nothing more is ordered.
+func TestGroupsThatStandAreLeftAlone(tst *testing.T) {
+	bch := newBench(tst)
+	stw := bch.steward("entry-1")
+	bch.turns(stw, 8*time.Second)
+	before := bch.ordered()
+	bch.turns(stw, 10*time.Second)
+	qt.Assert(tst, bch.ordered(), qt.Equals, before)
+}
+
+// Guards against a new holder that knows nothing but the store and the reports, and changes groups that work, also
+// while a whole domain is missing.
+func TestNewHolderKeepsGroups(tst *testing.T) {
+	bch := newBench(tst)
+	bch.turns(bch.steward("entry-1"), 8*time.Second)
+	for num := range 8 {
+		bch.lose(fmt.Sprintf("vm-c-%d", num))
+	}
+	before := bch.ordered()
+	bch.turns(bch.steward("entry-2"), 12*time.Second)
+	qt.Assert(tst, bch.open(), qt.DeepEquals, map[string]int{"large": 2, "small": 4})
+	qt.Assert(tst, bch.ordered(), qt.Equals, before)
+	bch.add("vm-c-new", "c")
+	bch.mu.Lock()
+	last := bch.fences[len(bch.fences)-1]
+	first := bch.fences[0]
+	bch.mu.Unlock()
+	qt.Assert(tst, last >= first, qt.IsTrue)
+}
+
+// Replays the loss of a VM of a large group: it is whole again within seconds, with a VM of a small group.
+func TestLargeGroupIsCompleted(tst *testing.T) {
+	bch := newBench(tst)
+	stw := bch.steward("entry-1")
+	bch.turns(stw, 20*time.Second)
+	bch.mu.Lock()
+	lost := ""
+	for id, srv := range bch.servers {
+		if srv.Zone == "a" && srv.Models[0] == "large" && srv.Place.Rank == 2 {
+			lost = id
+		}
+	}
+	bch.mu.Unlock()
+	bch.lose(lost)
+	bch.turns(stw, 3*time.Second)
+	qt.Assert(tst, bch.open(), qt.DeepEquals, map[string]int{"large": 3, "small": 5})
+}
+
+// Guards against groups that are taken apart because the store forgot their members during an outage.
+func TestNothingIsPlannedWhileEntriesMayBeBack(tst *testing.T) {
+	bch := newBench(tst)
+	stw := bch.steward("entry-1")
+	bch.turns(stw, 8*time.Second)
+	bch.settled = false
+	before := bch.ordered()
+	for num := range 6 {
+		bch.lose(fmt.Sprintf("vm-a-%d", num))
+	}
+	bch.turns(stw, 3*time.Second)
+	qt.Assert(tst, bch.ordered(), qt.Equals, before)
+}
