--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,8 @@
 
 FUZZERS := ./internal/objects:FuzzAnswers ./internal/backend:FuzzReport ./internal/backend:FuzzFrames \
 	./internal/peer:FuzzHandshake ./internal/settings:FuzzSettings ./internal/stream:FuzzToken \
-	./internal/stream:FuzzEventID ./pkg/document:FuzzParse
+	./internal/stream:FuzzEventID ./pkg/document:FuzzParse ./platform:FuzzServer ./platform:FuzzConfig \
+	./platform:FuzzRequest ./internal/relay:FuzzEvents
 
 fuzz:
 	set -e; for fuzzer in $(FUZZERS); do \
