--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -72,7 +72,7 @@
 		return nil
 	}
 	if !run.committed {
-		run.commit(http.StatusOK, hdr)
+		run.commit(hdr)
 		run.wrt.WriteHeader(http.StatusOK)
 		run.rly.met.first.Update(run.firstAt.Sub(run.start).Milliseconds())
 	}
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -102,7 +102,7 @@
 		run.cutOff(errors.Errorf("status %d in place of the rest of the stream", whl.status))
 		return
 	}
-	run.commit(whl.status, whl.header)
+	run.commit(whl.header)
 	run.wrt.Header().Set("Content-Length", strconv.Itoa(len(whl.body)))
 	run.wrt.WriteHeader(whl.status)
 	if _, err := run.wrt.Write(whl.body); err != nil {
@@ -118,7 +118,7 @@
 		ans.Finish(false)
 		return unknown, errors.Errorf("backend server %s: %s", server, fault)
 	}
-	run.commit(ans.StatusCode, ans.Header)
+	run.commit(ans.Header)
 	if ans.ContentLength >= 0 {
 		run.wrt.Header().Set("Content-Length", strconv.FormatInt(ans.ContentLength, 10))
 	}
@@ -137,7 +137,7 @@
 }
 
 // commit copies the headers of an answer for the caller.
-func (run *run) commit(_ int, hdr http.Header) {
+func (run *run) commit(hdr http.Header) {
 	run.committed = true
 	run.firstAt = run.rly.clk.Now()
 	out := run.wrt.Header()
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -58,8 +58,6 @@
 	Place  Place
 	// Version is the version of the entry in the store.
 	Version uint64
-	// Created is the version at which the entry was made.
-	Created uint64
 }
 
 // Cold reports whether the backend server is cold.
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -46,8 +46,6 @@
 	Public bool
 	// Resumable streams may go on at another backend server after their last event.
 	Resumable bool
-	// Regions are the only regions that may run the requests; empty means all.
-	Regions []string
 }
 
 // Target is one service of a route.
@@ -63,10 +61,7 @@
 
 // Service is a group of backend servers that answer the same requests.
 type Service struct {
-	Name       string
-	HealthPath string
-	// MaxConnections is the number of connections that one backend server accepts from all daemons.
-	MaxConnections int
+	Name string
 	// ColdRate is the number of requests per second that a cold backend server tolerates.
 	ColdRate float64
 	// Engine is nil for plain services.
@@ -76,21 +71,15 @@
 // Engine describes the model engines of a service: what they run and how long it takes.
 type Engine struct {
 	// Slots is the number of requests that a group runs in one batch.
-	Slots int
-	// Capacity is the number of tokens that fit into the memory of a group.
-	Capacity int
-	Models   []Model
-	// Step is the time of a step of an empty batch; StepPerRequest is added for each request of the batch and
-	// StepPerContext for each 1,000 tokens of context.
+	Slots  int
+	Models []Model
+	// Step is the time of a step of an empty batch; StepPerRequest is added for each request of the batch.
 	Step           time.Duration
 	StepPerRequest time.Duration
-	StepPerContext time.Duration
 	// ReadRate is the number of prompt tokens read per second.
 	ReadRate float64
 	// Stride is the number of steps between two events of a stream.
 	Stride int
-	// FormTime is the time that a group takes to open.
-	FormTime time.Duration
 	// LoadRate is the number of loads per second that the weight store tolerates, LoadsAtOnce the number of loads in
 	// progress beyond which each takes longer.
 	LoadRate    float64
@@ -109,9 +98,6 @@
 	Share float64
 	// Pace multiplies all times of the engine.
 	Pace float64
-	// Load is the time to load the weights from the weight store, Warm that to load them from the host.
-	Load time.Duration
-	Warm time.Duration
 }
 
 // Workspace is a customer with its keys.
--- /dev/null
+++ b/internal/steward/view.go
@@ -0,0 +1,192 @@
+package steward
+
+import (
+	"slices"
+	"sort"
+
+	"github.com/cumintally/cumintally/internal/formation"
+	"github.com/cumintally/cumintally/internal/group"
+	"github.com/cumintally/cumintally/internal/roster"
+	"github.com/cumintally/cumintally/internal/sizing"
+	"github.com/cumintally/cumintally/pkg/document"
+)
+
+// view returns what the plan of a domain is made from. Domains are planned one by one, since sizing has decided
+// which of them runs what.
+func (sit *situation) view(dom *sizing.Domain) group.View {
+	viw := group.View{
+		AvailabilityZone: dom.Zone,
+		Document: &document.Document{
+			Models: sit.models,
+			Groups: sit.groups[dom.Name],
+		},
+		Settled: map[group.ReleasedVM]bool{},
+		Serving: map[group.Place]bool{},
+		Drained: map[group.Place]bool{},
+		Broken:  map[group.Place]bool{},
+	}
+	known := map[string]bool{}
+	for _, srv := range sit.rst.Service(sit.svc.Name) {
+		if srv.Domain == dom.Name {
+			known[srv.ID] = true
+			viw.VMs = append(viw.VMs, sit.vmView(srv))
+		}
+	}
+	alc, ver := sit.inv.Allocation(dom.Name)
+	if ver == 0 {
+		return viw
+	}
+	viw.Allocations = []group.Allocation{alc}
+	for _, grp := range alc.Groups {
+		sit.groupState(&viw, alc, grp)
+		for _, mem := range grp.Members {
+			if !known[mem.VM] {
+				known[mem.VM] = true
+				viw.VMs = append(viw.VMs, sit.missing(alc, mem))
+			}
+		}
+	}
+	// Released VMs may be used again at once: an engine rejects late orders by their epoch, and formation waits
+	// until the former group has ended.
+	for _, rel := range alc.Released {
+		viw.Settled[rel] = true
+	}
+	return viw
+}
+
+func (sit *situation) vmView(srv *roster.Server) group.VMView {
+	return group.VMView{
+		Name:         srv.ID,
+		FabricDomain: srv.Domain,
+		Address:      srv.Address,
+		Usable:       !srv.Draining,
+		Busy:         srv.Place.State != roster.Alone && !formation.IsStandby(srv),
+		Leaving:      srv.Draining,
+		Fencing:      srv.Place.Epoch,
+		Loaded:       sit.obs.seen[srv.ID].memory,
+		Staged:       srv.Staged,
+	}
+}
+
+// missing returns the view of a member that is not registered.
+func (sit *situation) missing(alc group.Allocation, mem group.Member) group.VMView {
+	since, seen := sit.rst.GoneSince(mem.VM)
+	return group.VMView{
+		Name:         mem.VM,
+		FabricDomain: alc.FabricDomain,
+		Address:      mem.Address,
+		// An entry that this daemon never saw has been missing since before it started.
+		Lost: sit.mayLose && (!seen || sit.now.Sub(since) > lostAfter),
+	}
+}
+
+// groupState notes what the VMs of a group report.
+func (sit *situation) groupState(viw *group.View, alc group.Allocation, grp group.Group) {
+	plc := group.Place{
+		FabricDomain: alc.FabricDomain,
+		Group:        grp.Name,
+	}
+	own := roster.Place{
+		Group: grp.Name,
+		Epoch: grp.Fencing,
+	}
+	head, ok := sit.rst.Server(grp.Members[0].VM)
+	if !ok || !head.Place.Same(own) {
+		viw.Drained[plc] = true
+		return
+	}
+	whole := sit.rst.Members(own) >= len(grp.Members)
+	switch head.Place.State {
+	case roster.Open:
+		viw.Serving[plc] = whole
+		viw.Broken[plc] = !whole
+	case roster.Closing:
+	case roster.Broken:
+		viw.Broken[plc] = true
+		viw.Drained[plc] = true
+	default:
+		viw.Drained[plc] = true
+	}
+}
+
+// spares returns what the VMs without a group should hold ready in memory, by VM: in each domain the model of its
+// largest groups first, since they are the hardest to make whole.
+func (sit *situation) spares() map[string]formation.Standby {
+	spares := map[string]formation.Standby{}
+	for idx := range sit.domains {
+		alc, _ := sit.inv.Allocation(sit.domains[idx].Name)
+		models := modelsBySize(alc)
+		if len(models) == 0 {
+			continue
+		}
+		members := memberSet(alc)
+		num := 0
+		for _, srv := range sit.rst.Service(sit.svc.Name) {
+			if srv.Domain != alc.FabricDomain || srv.Draining || members[srv.ID] != "" {
+				continue
+			}
+			model := models[num%len(models)]
+			// Weights at hand are in memory in a second or two; others take many times as long.
+			if loaded := sit.obs.seen[srv.ID].memory; loaded != "" {
+				model = loaded
+			} else if len(srv.Staged) > 0 && !slices.Contains(srv.Staged, model) {
+				model = srv.Staged[0]
+			}
+			spares[srv.ID] = formation.Standby{
+				Model: model,
+				Epoch: alc.Counter,
+			}
+			num++
+		}
+	}
+	return spares
+}
+
+// stages returns the models whose weights the hosts should hold, by VM: the model that the VM does not serve, so
+// that it can take part in a group of any model within seconds.
+func (sit *situation) stages() map[string]string {
+	stages := map[string]string{}
+	mods := sit.svc.Engine.Models
+	if len(mods) < 2 {
+		return stages
+	}
+	for idx := range sit.domains {
+		alc, _ := sit.inv.Allocation(sit.domains[idx].Name)
+		held := memberSet(alc)
+		for id, spare := range sit.spares() {
+			held[id] = spare.Model
+		}
+		for id, model := range held {
+			for pos, mod := range mods {
+				if mod.Name == model {
+					stages[id] = mods[(pos+1)%len(mods)].Name
+				}
+			}
+		}
+	}
+	return stages
+}
+
+// memberSet returns the model that each member of a domain's groups serves.
+func memberSet(alc group.Allocation) map[string]string {
+	members := map[string]string{}
+	for _, grp := range alc.Groups {
+		for _, mem := range grp.Members {
+			members[mem.VM] = grp.Model
+		}
+	}
+	return members
+}
+
+func modelsBySize(alc group.Allocation) []string {
+	sizes := map[string]int{}
+	var models []string
+	for _, grp := range alc.Groups {
+		if _, ok := sizes[grp.Model]; !ok {
+			models = append(models, grp.Model)
+		}
+		sizes[grp.Model] = len(grp.Members)
+	}
+	sort.SliceStable(models, func(fst, snd int) bool { return sizes[models[fst]] > sizes[models[snd]] })
+	return models
+}
