Move a closed head on before its members join other groups

Cause: found by reading: an order to open a head that was carried out late can open it again after it was closed, while its group and epoch are the same; a member that joins another group at that moment is in two. Ruled out: waiting for late orders (up to 12 s). The head now leaves, or joins its next group, first; that costs one turn of the loop (about 0.2 s).

--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -214,8 +214,8 @@
 	if srv.Place.Rank == 0 {
 		return stp.cleared(srv.Place, false)
 	}
-	if _, ok := stp.viw.Roster.Head(stp.viw.Service, srv.Place); ok {
-		return stp.cleared(srv.Place, false)
+	if head, ok := stp.viw.Roster.Head(stp.viw.Service, srv.Place); ok {
+		return stp.cleared(srv.Place, false) && stp.dissolved(head)
 	}
 	if old, ok := stp.frm.heads[srv.Place.Identity()]; ok {
 		if _, ok := stp.viw.Roster.Server(old.server); ok {
@@ -257,6 +257,16 @@
 	return false
 }
 
+// dissolved reports whether a head that is not open can never be opened again in its group: it is broken, or has gone
+// on. While it is merely closed, an earlier order to open it may still arrive.
+func (stp *step) dissolved(head *roster.Server) bool {
+	if head.Place.State == roster.Broken {
+		return true
+	}
+	stp.leave(head)
+	return false
+}
+
 func (stp *step) leave(srv *roster.Server) {
 	stp.give(Order{
 		Verb:    Leave,
