Go on with a broken stream as soon as another group has room

Backend servers that broke are left out for good now, those that were full only until the next wait, and the sends last for the 1.8 s that callers wait.

--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -32,9 +33,9 @@
 	// leastUseful keeps a request that comes back late from being turned away by idle backend servers.
 	leastUseful = 250 * time.Millisecond
 	// resumeSends takes the place of extraSends for a stream that has begun.
-	resumeSends = 6
-	// resumePause spaces the attempts to go on with a stream.
-	resumePause = 100 * time.Millisecond
+	resumeSends = 8
+	// resumePause spaces the attempts to go on with a stream, so that resumeSends last for resumePatience.
+	resumePause = 250 * time.Millisecond
 	// resumePatience is the time since the last event after which nobody goes on with a stream: callers give it up
 	// after about two seconds.
 	resumePatience = 1800 * time.Millisecond
@@ -73,7 +74,10 @@
 	// sends counts all sends, runs those that a backend server may have run.
 	sends int
 	runs  int
-	avoid []string
+	// broke are the IDs of backend servers that may have run the request and gave no answer, refused those that stated
+	// that they did not run it, or could not be reached, since the last wait.
+	broke   []string
+	refused []string
 	// firstAt is when the first byte of the answer went to the caller.
 	firstAt time.Time
 	// committed says that the caller has got the headers of an answer.
@@ -148,7 +152,7 @@
 		return false
 	}
 	// Backend servers that were full may have room again.
-	run.avoid = nil
+	run.refused = nil
 	select {
 	case <-ctx.Done():
 		return false
@@ -169,7 +173,7 @@
 		AnswerTokens: answer,
 		Within:       run.deadline.Sub(run.rly.clk.Now()),
 		Useful:       run.useful(),
-		Avoid:        run.avoid,
+		Avoid:        slices.Concat(run.broke, run.refused),
 	}
 }
 
@@ -296,7 +300,11 @@
 
 // note logs a send that gave no answer for the caller.
 func (run *run) note(pick placement.Pick, out outcome, err error) {
-	run.avoid = append(run.avoid, pick.Server.ID)
+	if out == unknown {
+		run.broke = append(run.broke, pick.Server.ID)
+	} else {
+		run.refused = append(run.refused, pick.Server.ID)
+	}
 	run.rly.log.Info("a send gave no answer",
 		zap.String("request", run.facts.RequestID),
 		zap.String("server", pick.Server.ID),
