--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -76,14 +76,14 @@
 		row("Routing", "NearPercent", "5", "difference up to which two scores are as good", integer(&set.Routing.NearPercent, 0, 100)),
 		row("Routing", "HalfLife", "60s", "time after which a hint of a cached prefix counts half", duration(&set.Routing.HalfLife, time.Second, time.Hour)),
 		row("Site", "RetryRatio", "0.2", "repeats for each request of a service, over all daemons", fraction(&set.Site.RetryRatio, 0, 10)),
-		row("Site", "RetryReserve", "100", "repeats of a service beyond the share, over all daemons", integer(&set.Site.RetryReserve, 0, 1000000)),
+		row("Site", "RetryReserve", "100", "repeats of a service beyond the share, over all daemons", fraction(&set.Site.RetryReserve, 0, 1000000)),
 		row("Site", "RetryWindow", "10s", "time over which repeats are counted", duration(&set.Site.RetryWindow, 100*time.Millisecond, time.Hour)),
 		row("Site", "ColdExcess", "1", "factor on the rate that a cold backend server states, over all daemons", fraction(&set.Site.ColdExcess, 0, 10)),
-		row("Site", "ColdReserve", "0", "requests per second at a cold backend server beyond its rate", integer(&set.Site.ColdReserve, 0, 1000000)),
+		row("Site", "ColdReserve", "0", "requests per second at a cold backend server beyond its rate", fraction(&set.Site.ColdReserve, 0, 1000000)),
 		row("Site", "StallTime", "4s", "time for which a group works on without a member", duration(&set.Site.StallTime, 100*time.Millisecond, time.Minute)),
 		row("Site", "KnowWithin", "2s", "time within which a change in the store must be known", duration(&set.Site.KnowWithin, 100*time.Millisecond, time.Minute)),
 		row("Site", "FirstStart", "false", "whether the whole site starts for the first time", yesNo(&set.Site.FirstStart)),
-		row("Site", "MemoryLimit", "0", "memory of the process in megabytes, 0 for no limit", integer(&set.Site.MemoryLimit, 0, 1<<20)),
+		row("Site", "MemoryLimit", "0", "memory of the process in megabytes, 0 for no limit", fraction(&set.Site.MemoryLimit, 0, 1<<20)),
 		row("Log", "Level", "info", "least severe level that is logged", oneOf(&set.Log.Level, "debug", "info", "warn", "error")),
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,11 +131,11 @@
 type Site struct {
 	// RetryRatio is the number of repeats for each request of a service in RetryWindow, beyond RetryReserve.
 	RetryRatio   float64
-	RetryReserve int
+	RetryReserve float64
 	RetryWindow  time.Duration
 	// ColdExcess multiplies the rate that a cold backend server states; ColdReserve is added per second.
 	ColdExcess  float64
-	ColdReserve int
+	ColdReserve float64
 	// StallTime is the time for which a group works on without a member.
 	StallTime time.Duration
 	// KnowWithin is the time within which a change in the store must be known.
@@ -143,7 +143,7 @@
 	// FirstStart says that the whole site starts for the first time.
 	FirstStart bool
 	// MemoryLimit is the memory in megabytes that the process may use, 0 for no limit.
-	MemoryLimit int
+	MemoryLimit float64
 }
 
 // Log says what is logged.
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -99,7 +99,7 @@
 func newBudget(set *settings.Settings, src *sources) *retrybudget.Budget {
 	return retrybudget.New(retrybudget.Config{
 		Ratio:   set.Site.RetryRatio,
-		Reserve: float64(set.Site.RetryReserve),
+		Reserve: set.Site.RetryReserve,
 		Window:  set.Site.RetryWindow,
 	}, src.countDaemons)
 }
@@ -115,7 +115,7 @@
 	cfg := placement.Config{
 		AvailabilityZone: set.Entry.AvailabilityZone,
 		ColdExcess:       set.Site.ColdExcess,
-		ColdReserve:      float64(set.Site.ColdReserve),
+		ColdReserve:      set.Site.ColdReserve,
 	}
 	sea := placement.Seams{
 		Roster:    src.roster.View,
--- a/internal/verb/entry.go
+++ b/internal/verb/entry.go
@@ -71,7 +71,7 @@
 func newDaemon(set *settings.Settings, log *zap.Logger) (func(ctx context.Context) error, error) {
 	if set.Platform.Protocol == settings.ProtocolMachines {
 		if set.Site.MemoryLimit > 0 {
-			debug.SetMemoryLimit(int64(float64(set.Site.MemoryLimit) * memoryShare * (1 << 20)))
+			debug.SetMemoryLimit(int64(set.Site.MemoryLimit * memoryShare * (1 << 20)))
 		}
 		ste, err := site.New(set, log)
 		if err != nil {
