Let one daemon feed the others with changes of the store, and let the holder tell of its lease

Ruled out: longer pauses after changes (stale registry, more requests sent to groups that have ended). Change: the holder of the lease, or else the lowest name whose copy the store confirms, passes changes on with the words that daemons exchange anyway. A copy that is fed counts for 0.6 of the time within which changes must be known; after that and after a gap the daemon watches by itself. Sites of up to 12 daemons are as before. A renewal of the lease costs one call, and its age is told, so that nobody looks before it can end. Conclusion: the calls of a site no longer grow with changes times daemons.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -18,6 +18,8 @@
 	// leastPause and mostPause bound the pause after a failed call.
 	leastPause = 100 * time.Millisecond
 	mostPause  = 1600 * time.Millisecond
+	// answerTime is the part of a watch's deadline in which the store answers; it holds the call for the rest.
+	answerTime = 500 * time.Millisecond
 )
 
 // Config is what to follow.
@@ -25,6 +27,12 @@
 	Kind string
 	// Gather returns the pause after changes came, so that a burst of changes costs few calls.
 	Gather func() time.Duration
+	// Trust is the time for which a copy that another daemon feeds counts as current since the store confirmed it;
+	// 0 for a copy that is not fed.
+	Trust time.Duration
+	// Fed reports whether the daemons feed each other, and Own whether this one watches the store nevertheless.
+	Fed func() bool
+	Own func() bool
 }
 
 // Follower follows one kind.
@@ -34,12 +42,21 @@
 	take func(objs []objects.Object, whole bool)
 	clk  clockwork.Clock
 	log  *zap.Logger
+	// gap tells the loop that the feed has left out changes.
+	gap chan struct{}
 
 	mu sync.Mutex
-	// heard is when the store last answered, lost when it first failed since then.
-	heard time.Time
-	lost  time.Time
-	back  time.Time
+	// revision is the one up to which the copy is complete, 0 before the first list.
+	revision uint64
+	history  history
+	// heard is when the store last confirmed the copy, through whichever daemon, and direct when it did so to this one.
+	heard  time.Time
+	direct time.Time
+	// fedUntil is the time until which the feed counts.
+	fedUntil time.Time
+	// lost is when the store first failed since it last answered, back when it answered after that.
+	lost time.Time
+	back time.Time
 }
 
 // New returns a follower that hands the objects to take: a whole list or changes.
@@ -50,6 +67,7 @@
 		take: take,
 		clk:  clk,
 		log:  log.Named("follow"),
+		gap:  make(chan struct{}, 1),
 	}
 }
 
@@ -72,10 +90,13 @@
 		fol.failed(ctx, err)
 		return false
 	}
-	fol.answered()
-	fol.take(objs, true)
+	fol.listed(objs, rev)
 	for ctx.Err() == nil {
-		objs, next, err := fol.pst.Watch(ctx, fol.cfg.Kind, rev)
+		if fol.awaitFeed(ctx) {
+			continue
+		}
+		since := fol.Revision()
+		objs, next, err := fol.watch(ctx, since)
 		if errors.Is(err, objects.ErrUnavailable) && ctx.Err() == nil {
 			// A watch that was cut can go on where it was.
 			fol.failed(ctx, err)
@@ -88,22 +109,144 @@
 			fol.failed(ctx, err)
 			return true
 		}
-		fol.answered()
-		rev = max(rev, next)
+		fol.watched(since, next, objs)
 		if len(objs) > 0 {
-			fol.take(objs, false)
 			fol.sleep(ctx, fol.cfg.Gather())
 		}
 	}
 	return true
 }
 
+func (fol *Follower) watch(ctx context.Context, since uint64) ([]objects.Object, uint64, error) {
+	if fol.feeds() {
+		// A daemon that feeds others needs a confirmation younger than Trust, also while nothing changes.
+		short, cancel := context.WithTimeout(ctx, fol.cfg.Trust/2+answerTime)
+		defer cancel()
+		ctx = short
+	}
+	return fol.pst.Watch(ctx, fol.cfg.Kind, since)
+}
+
+func (fol *Follower) feeds() bool {
+	return fol.cfg.Trust > 0 && fol.cfg.Fed()
+}
+
+// awaitFeed waits while another daemon keeps the copy current; it reports false at once if none does.
+func (fol *Follower) awaitFeed(ctx context.Context) bool {
+	fol.mu.Lock()
+	left := fol.fedUntil.Sub(fol.clk.Now())
+	fol.mu.Unlock()
+	if left <= 0 || !fol.feeds() || fol.cfg.Own() {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+	case <-fol.gap:
+	case <-fol.clk.After(left):
+	}
+	return true
+}
+
+// Feed takes changes from another daemon; a batch that begins after the own position is left to the store.
+func (fol *Follower) Feed(bat Batch) {
+	fol.mu.Lock()
+	defer fol.mu.Unlock()
+	now := fol.clk.Now()
+	heard := now.Add(-bat.Age)
+	if fol.revision == 0 || now.Sub(heard) >= fol.cfg.Trust {
+		return
+	}
+	if bat.Since > fol.revision {
+		if fol.fedUntil.After(now) {
+			fol.log.Info("missed changes that another daemon passed on, asks the store",
+				zap.String("kind", bat.Kind), zap.Uint64("revision", fol.revision), zap.Uint64("since", bat.Since))
+		}
+		fol.fedUntil = time.Time{}
+		select {
+		case fol.gap <- struct{}{}:
+		default:
+		}
+		return
+	}
+	fol.advance(bat.Since, bat.Revision, bat.Objects)
+	if bat.Revision >= fol.revision {
+		fol.confirmed(heard)
+		if until := heard.Add(fol.cfg.Trust); until.After(fol.fedUntil) {
+			fol.fedUntil = until
+		}
+	}
+}
+
+// Changes returns what another daemon lacks that is at revision rev, and false while this copy is not current by
+// the store's own word.
+func (fol *Follower) Changes(rev uint64) (Batch, bool) {
+	fol.mu.Lock()
+	defer fol.mu.Unlock()
+	age := fol.clk.Since(fol.direct)
+	if fol.direct.IsZero() || age >= fol.cfg.Trust {
+		return Batch{}, false
+	}
+	bat := Batch{
+		Kind:     fol.cfg.Kind,
+		Since:    rev,
+		Revision: fol.revision,
+		Age:      age,
+	}
+	objs, ok := fol.history.since(rev)
+	if !ok || rev > fol.revision {
+		// The follower notices the gap and asks the store.
+		bat.Since = fol.revision
+		return bat, true
+	}
+	bat.Objects = objs
+	return bat, true
+}
+
+// listed replaces the copy.
+func (fol *Follower) listed(objs []objects.Object, rev uint64) {
+	fol.mu.Lock()
+	defer fol.mu.Unlock()
+	fol.take(objs, true)
+	fol.revision = rev
+	fol.history = history{}
+	fol.history.add(Batch{
+		Since:    rev,
+		Revision: rev,
+	})
+	fol.confirmedDirectly()
+}
+
+// watched applies the answer to a watch, unless the feed was faster: the next watch goes on from there.
+func (fol *Follower) watched(since, next uint64, objs []objects.Object) {
+	fol.mu.Lock()
+	defer fol.mu.Unlock()
+	fol.confirmedDirectly()
+	if fol.revision == since {
+		fol.advance(since, next, objs)
+	}
+}
+
+func (fol *Follower) advance(since, next uint64, objs []objects.Object) {
+	if next <= fol.revision {
+		return
+	}
+	if len(objs) > 0 {
+		fol.take(objs, false)
+	}
+	fol.history.add(Batch{
+		Since:    min(since, fol.revision),
+		Revision: next,
+		Objects:  objs,
+	})
+	fol.revision = next
+}
+
 // resume waits before a cut watch is tried again; it reports false when the position may be too old by then.
 func (fol *Follower) resume(ctx context.Context) bool {
 	fol.mu.Lock()
 	lost := fol.lost
 	fol.mu.Unlock()
-	if fol.clk.Since(lost) > mostPause {
+	if !lost.IsZero() && fol.clk.Since(lost) > mostPause {
 		return false
 	}
 	fol.sleep(ctx, leastPause/2+time.Duration(rand.Int64N(int64(leastPause))))
@@ -120,16 +263,22 @@
 	}
 }
 
-func (fol *Follower) answered() {
-	fol.mu.Lock()
-	defer fol.mu.Unlock()
-	now := fol.clk.Now()
-	if !fol.lost.IsZero() {
+func (fol *Follower) confirmedDirectly() {
+	fol.direct = fol.clk.Now()
+	fol.confirmed(fol.direct)
+}
+
+// confirmed notes that the copy was current at the time heard.
+func (fol *Follower) confirmed(heard time.Time) {
+	if heard.Before(fol.heard) {
+		return
+	}
+	if now := fol.clk.Now(); !fol.lost.IsZero() && !heard.Before(fol.lost) {
 		fol.log.Info("the store answers again", zap.String("kind", fol.cfg.Kind), zap.Duration("after", now.Sub(fol.lost)))
 		fol.lost = time.Time{}
 		fol.back = now
 	}
-	fol.heard = now
+	fol.heard = heard
 }
 
 func (fol *Follower) failed(ctx context.Context, err error) {
@@ -145,13 +294,39 @@
 	}
 }
 
-// Heard returns when the store last answered, zero if it never did.
+// Heard returns when the store last confirmed the copy, zero if it never did.
 func (fol *Follower) Heard() time.Time {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
 	return fol.heard
 }
 
+// Kind returns the kind that is followed.
+func (fol *Follower) Kind() string {
+	return fol.cfg.Kind
+}
+
+// Revision returns the store's revision up to which the copy is complete, 0 before the first list.
+func (fol *Follower) Revision() uint64 {
+	fol.mu.Lock()
+	defer fol.mu.Unlock()
+	return fol.revision
+}
+
+// Recent returns a revision that a daemon whose position is not known has probably reached.
+func (fol *Follower) Recent() uint64 {
+	fol.mu.Lock()
+	defer fol.mu.Unlock()
+	return fol.history.recent()
+}
+
+// Direct returns when the store last confirmed the copy to this daemon itself, zero if it never did.
+func (fol *Follower) Direct() time.Time {
+	fol.mu.Lock()
+	defer fol.mu.Unlock()
+	return fol.direct
+}
+
 // Settled reports whether the store has answered for at least span without a failure.
 func (fol *Follower) Settled(span time.Duration) bool {
 	fol.mu.Lock()
--- /dev/null
+++ b/internal/follow/follower_test.go
@@ -0,0 +1,261 @@
+package follow_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"github.com/cumintally/cumintally/internal/follow"
+	"github.com/cumintally/cumintally/internal/objects"
+)
+
+const (
+	kind    = "Server"
+	trust   = 1800 * time.Millisecond
+	patient = 5 * time.Second
+)
+
+// registry is a store of one kind that counts the watches that are waiting and those that were made.
+type registry struct {
+	mu       sync.Mutex
+	revision uint64
+	changes  []objects.Object
+	watches  int
+	down     bool
+	more     chan struct{}
+}
+
+func newRegistry() *registry {
+	return &registry{
+		revision: 1,
+		more:     make(chan struct{}),
+	}
+}
+
+// put changes an object and wakes the watches.
+func (reg *registry) put(name string) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	reg.revision++
+	reg.changes = append(reg.changes, objects.Object{
+		Kind:    kind,
+		Name:    name,
+		Version: reg.revision,
+	})
+	close(reg.more)
+	reg.more = make(chan struct{})
+}
+
+func (reg *registry) setDown(down bool) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	reg.down = down
+	close(reg.more)
+	reg.more = make(chan struct{})
+}
+
+func (reg *registry) made() int {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	return reg.watches
+}
+
+func (reg *registry) store() objects.Store {
+	return objects.Store{
+		List: func(context.Context, string) ([]objects.Object, uint64, error) {
+			reg.mu.Lock()
+			defer reg.mu.Unlock()
+			if reg.down {
+				return nil, 0, objects.ErrUnavailable
+			}
+			return slices.Clone(reg.changes), reg.revision, nil
+		},
+		Watch: func(ctx context.Context, _ string, since uint64) ([]objects.Object, uint64, error) {
+			reg.mu.Lock()
+			defer reg.mu.Unlock()
+			reg.watches++
+			for !reg.down {
+				var objs []objects.Object
+				for _, obj := range reg.changes {
+					if obj.Version > since {
+						objs = append(objs, obj)
+					}
+				}
+				if len(objs) > 0 {
+					return objs, reg.revision, nil
+				}
+				more := reg.more
+				reg.mu.Unlock()
+				select {
+				case <-ctx.Done():
+				case <-more:
+				}
+				reg.mu.Lock()
+				if ctx.Err() != nil {
+					return nil, 0, objects.ErrUnavailable
+				}
+			}
+			return nil, 0, objects.ErrUnavailable
+		},
+	}
+}
+
+// copied is what a follower has handed on.
+type copied struct {
+	mu    sync.Mutex
+	names map[string]uint64
+}
+
+func (cop *copied) take(objs []objects.Object, whole bool) {
+	cop.mu.Lock()
+	defer cop.mu.Unlock()
+	if whole || cop.names == nil {
+		cop.names = map[string]uint64{}
+	}
+	for _, obj := range objs {
+		cop.names[obj.Name] = obj.Version
+	}
+}
+
+func (cop *copied) version(name string) uint64 {
+	cop.mu.Lock()
+	defer cop.mu.Unlock()
+	return cop.names[name]
+}
+
+// started returns a follower of reg that has listed.
+func started(tst *testing.T, reg *registry, clk clockwork.Clock) (*follow.Follower, *copied) {
+	cop := &copied{}
+	cfg := follow.Config{
+		Kind:   kind,
+		Gather: func() time.Duration { return 0 },
+		Trust:  trust,
+		Fed:    func() bool { return true },
+		Own:    func() bool { return false },
+	}
+	fol := follow.New(cfg, reg.store(), cop.take, clk, zap.NewNop())
+	ctx, cancel := context.WithCancel(tst.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		fol.Run(ctx)
+	}()
+	tst.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	eventually(tst, func() bool { return fol.Revision() > 0 })
+	return fol, cop
+}
+
+func eventually(tst *testing.T, holds func() bool) {
+	tst.Helper()
+	for end := time.Now().Add(patient); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			tst.Fatal("does not come to hold")
+		}
+	}
+}
+
+// feed passes on what fed lacks.
+func feed(tst *testing.T, from, fed *follow.Follower) {
+	tst.Helper()
+	bat, ok := from.Changes(fed.Revision())
+	qt.Assert(tst, ok, qt.IsTrue)
+	fed.Feed(bat)
+}
+
+// TestFedCopyCostsNoCalls guards against a fleet whose calls to the store grow with its size: a daemon that is fed
+// learns all changes and makes no watch of its own.
+func TestFedCopyCostsNoCalls(tst *testing.T) {
+	reg := newRegistry()
+	clk := clockwork.NewFakeClock()
+	one, _ := started(tst, reg, clk)
+	eventually(tst, func() bool { return reg.made() == 1 })
+	two, cop := started(tst, reg, clk)
+	feed(tst, one, two)
+	// The second daemon's watch under way, if any, ends with this change; it makes no other.
+	reg.put("s0")
+	eventually(tst, func() bool { return one.Revision() == 2 })
+	feed(tst, one, two)
+	eventually(tst, func() bool { return cop.version("s0") == 2 })
+	clk.Advance(trust / 2)
+	reg.put("s1")
+	eventually(tst, func() bool { return one.Revision() == 3 })
+	feed(tst, one, two)
+	before := reg.made()
+	for num := range 20 {
+		reg.put("s2")
+		eventually(tst, func() bool { return one.Revision() == uint64(4+num) })
+		feed(tst, one, two)
+	}
+	qt.Check(tst, cop.version("s2"), qt.Equals, uint64(23))
+	qt.Check(tst, reg.made()-before <= 21, qt.IsTrue, qt.Commentf("%d watches for 20 changes", reg.made()-before))
+}
+
+// TestStaleFeedEnds guards against a copy that grows old with its feeder: when the store no longer confirms the
+// feeder's copy, the daemon watches by itself.
+func TestStaleFeedEnds(tst *testing.T) {
+	reg, cut := newRegistry(), newRegistry()
+	clk := clockwork.NewFakeClock()
+	one, _ := started(tst, cut, clk)
+	two, cop := started(tst, reg, clk)
+	feed(tst, one, two)
+	cut.setDown(true)
+	reg.put("s0")
+	clk.Advance(trust)
+	_, ok := one.Changes(two.Revision())
+	qt.Check(tst, ok, qt.IsFalse, qt.Commentf("a copy that the store has not confirmed is not passed on"))
+	eventually(tst, func() bool { return cop.version("s0") == 2 })
+}
+
+// TestGapIsClosed guards against a change that is lost since the feeder began later, or has dropped it by now.
+func TestGapIsClosed(tst *testing.T) {
+	reg := newRegistry()
+	clk := clockwork.NewFakeClock()
+	two, cop := started(tst, reg, clk)
+	one, _ := started(tst, reg, clk)
+	feed(tst, one, two)
+	reg.put("s0")
+	two.Feed(follow.Batch{
+		Kind:     kind,
+		Since:    2,
+		Revision: 3,
+		Objects: []objects.Object{{
+			Kind:    kind,
+			Name:    "s1",
+			Version: 3,
+		}},
+	})
+	eventually(tst, func() bool { return cop.version("s0") == 2 })
+	qt.Check(tst, cop.version("s1"), qt.Equals, uint64(0))
+}
+
+// TestLargeObjectIsReadFromTheStore guards against links that are occupied by one large object for all daemons.
+func TestLargeObjectIsReadFromTheStore(tst *testing.T) {
+	reg := newRegistry()
+	clk := clockwork.NewFakeClock()
+	one, _ := started(tst, reg, clk)
+	from := one.Revision()
+	one.Feed(follow.Batch{
+		Kind:     kind,
+		Since:    from,
+		Revision: from + 1,
+		Objects: []objects.Object{{
+			Kind:    kind,
+			Name:    "large",
+			Version: from + 1,
+			Value:   make([]byte, 100_000),
+		}},
+	})
+	bat, ok := one.Changes(from)
+	qt.Assert(tst, ok, qt.IsTrue)
+	qt.Check(tst, bat.Objects, qt.HasLen, 0)
+	qt.Check(tst, bat.Since, qt.Equals, from+1, qt.Commentf("the receiver sees a gap"))
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -42,8 +42,13 @@
 	held     bool
 	heldFrom time.Time
 	epoch    uint64
-	seen     objects.Object
-	seenAt   time.Time
+	// own and ownVersion are the record that this daemon wrote last, version 0 where another may have been written since.
+	own        Record
+	ownVersion uint64
+	// seen is the version of the record that was last seen or told of, since seenAt.
+	seen   uint64
+	seenAt time.Time
+	told   time.Time
 	// failed says that the last read failed; notBefore is when another daemon's lease may be taken over.
 	failed    bool
 	notBefore time.Time
@@ -82,6 +87,12 @@
 	if les.fresh() {
 		return nil
 	}
+	if les.Held() {
+		if own, ver := les.lastWritten(); ver > 0 {
+			own.Renewal++
+			return les.write(ctx, ver, own)
+		}
+	}
 	obj, err := les.pst.Get(ctx, objects.KindLease, les.zone)
 	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		les.mu.Lock()
@@ -106,13 +117,52 @@
 	return les.write(ctx, obj.Version, next)
 }
 
-// fresh reports whether the lease is too young to be renewed; each renewal costs two calls.
+// fresh reports whether the lease is too young to be renewed.
 func (les *Lease) fresh() bool {
 	les.mu.Lock()
 	defer les.mu.Unlock()
 	return les.held && les.clk.Since(les.heldFrom) < les.duration/4
 }
 
+func (les *Lease) lastWritten() (Record, uint64) {
+	les.mu.Lock()
+	defer les.mu.Unlock()
+	return les.own, les.ownVersion
+}
+
+// Renewal returns the version of the record that this daemon wrote last and when the lease counts from, and false
+// while it does not hold the lease.
+func (les *Lease) Renewal() (uint64, time.Time, bool) {
+	held := les.Held()
+	les.mu.Lock()
+	defer les.mu.Unlock()
+	return les.ownVersion, les.heldFrom, held && les.ownVersion > 0
+}
+
+// Tell notes that the holder said that it has written version at the time renewed.
+func (les *Lease) Tell(version uint64, renewed time.Time) {
+	les.mu.Lock()
+	defer les.mu.Unlock()
+	if version <= les.seen {
+		return
+	}
+	les.seen = version
+	les.seenAt = renewed
+	les.told = renewed
+}
+
+// Told returns when the lease was last renewed by the holder's own word, zero if no holder said so.
+func (les *Lease) Told() time.Time {
+	les.mu.Lock()
+	defer les.mu.Unlock()
+	return les.told
+}
+
+// Duration returns the time for which a renewal counts.
+func (les *Lease) Duration() time.Duration {
+	return les.duration
+}
+
 // observe notes when the record last changed and reports whether this daemon may write it.
 func (les *Lease) observe(obj objects.Object) (Record, bool) {
 	les.mu.Lock()
@@ -121,8 +171,8 @@
 	if obj.Version == 0 || json.Unmarshal(obj.Value, &rec) != nil {
 		return rec, true
 	}
-	if obj.Version != les.seen.Version {
-		les.seen = obj
+	if obj.Version != les.seen {
+		les.seen = obj.Version
 		les.seenAt = les.clk.Now()
 	}
 	if rec.Instance == les.instance {
@@ -147,10 +197,12 @@
 		return errors.Trace(err)
 	}
 	before := les.clk.Now()
-	_, err = les.pst.Put(ctx, objects.KindLease, les.zone, expected, val)
+	ver, err := les.pst.Put(ctx, objects.KindLease, les.zone, expected, val)
 	les.mu.Lock()
 	defer les.mu.Unlock()
+	les.own, les.ownVersion = rec, ver
 	if err != nil {
+		les.ownVersion = 0
 		// After an unknown outcome the next Acquire reads back who holds the lease.
 		if errors.Is(err, objects.ErrConflict) {
 			les.held = false
@@ -180,6 +232,7 @@
 	}
 	les.mu.Lock()
 	les.held = false
+	les.ownVersion = 0
 	les.mu.Unlock()
 	rec.Holder = ""
 	rec.Instance = ""
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -192,3 +192,44 @@
 	qt.Assert(tst, snd.Acquire(tst.Context()), qt.IsNil)
 	qt.Assert(tst, snd.Held(), qt.IsTrue)
 }
+
+// TestRenewalCostsOneCall guards against a read of the store before each renewal.
+func TestRenewalCostsOneCall(tst *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pst := standin.NewStore().Platform()
+	reads := 0
+	counted := pst
+	counted.Get = func(ctx context.Context, kind, name string) (objects.Object, error) {
+		reads++
+		return pst.Get(ctx, kind, name)
+	}
+	les := New("zone", "entry-1", duration, counted, clk)
+	for range 5 {
+		qt.Assert(tst, les.Acquire(tst.Context()), qt.IsNil)
+		qt.Assert(tst, les.Held(), qt.IsTrue)
+		clk.Advance(duration / 4)
+	}
+	qt.Check(tst, reads, qt.Equals, 1)
+}
+
+// TestTold guards against a lease that is taken before it ends, or later than it ends, by a daemon that knew of the
+// holder's renewals by the holder's word only.
+func TestTold(tst *testing.T) {
+	clk := clockwork.NewFakeClock()
+	pst := standin.NewStore().Platform()
+	fst := New("zone", "entry-1", duration, pst, clk)
+	snd := New("zone", "entry-2", duration, pst, clk)
+	qt.Assert(tst, fst.Acquire(tst.Context()), qt.IsNil)
+	ver, renewed, held := fst.Renewal()
+	qt.Assert(tst, held, qt.IsTrue)
+	snd.Tell(ver, renewed)
+	qt.Check(tst, snd.Told(), qt.Equals, renewed)
+	clk.Advance(duration)
+	qt.Assert(tst, snd.Acquire(tst.Context()), qt.IsNil)
+	qt.Check(tst, snd.Held(), qt.IsFalse)
+	clk.Advance(time.Millisecond)
+	qt.Assert(tst, snd.Acquire(tst.Context()), qt.IsNil)
+	qt.Check(tst, snd.Held(), qt.IsTrue)
+	_, _, held = fst.Renewal()
+	qt.Check(tst, held, qt.IsFalse)
+}
--- a/internal/objects/object.go
+++ b/internal/objects/object.go
@@ -70,7 +70,8 @@
 	// Delete removes the object if its version is still expected.
 	Delete func(ctx context.Context, kind, name string, expected uint64) error
 	// Watch waits for changes of a kind after revision since and returns them with the new revision;
-	// after the platform's own wait time it returns none.
+	// after the platform's own wait time it returns none. Where the platform lets the caller choose, a deadline of
+	// ctx shortens that time.
 	Watch func(ctx context.Context, kind string, since uint64) ([]Object, uint64, error)
 	VMs   func(ctx context.Context) ([]VM, error)
 }
--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -14,6 +14,9 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/feeding"
+	"github.com/cumintally/cumintally/internal/follow"
+	"github.com/cumintally/cumintally/internal/lease"
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/objects"
@@ -45,6 +48,14 @@
 
 	Load    loadview.Announcement
 	Crashes []quarantine.Crash
+	// Confirmed is the time since the store itself confirmed the daemon's copy of the registry, and Feed what the
+	// store has said that the receiver lacks.
+	Confirmed time.Duration
+	Feed      []follow.Batch
+	// Lease is the version of the lease's record that the daemon wrote, 0 while it does not hold the lease, and
+	// Renewed the time since.
+	Lease   uint64
+	Renewed time.Duration
 }
 
 // peers tells the other daemons what this one has in progress.
@@ -55,11 +66,15 @@
 	msh *peer.Mesh
 	viw *loadview.View
 	plm *placement.Placement
+	fdg *feeding.Feeding
+	les *lease.Lease
 	clk clockwork.Clock
 	log *zap.Logger
 
 	instance uint64
-	mu       sync.Mutex
+	// feeds is whether this daemon feeds others; only run uses it.
+	feeds bool
+	mu    sync.Mutex
 	// resting holds until when a peer is left alone, and busy those to which a frame is on its way.
 	resting map[string]time.Time
 	busy    map[string]bool
@@ -92,6 +107,7 @@
 	viw *loadview.View,
 	plm *placement.Placement,
 	qua *quarantine.Quarantine,
+	les *lease.Lease,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *peers {
@@ -102,6 +118,8 @@
 		msh:      msh,
 		viw:      viw,
 		plm:      plm,
+		fdg:      feeding.New(set.Entry.Name),
+		les:      les,
 		clk:      clk,
 		log:      log.Named("peers"),
 		instance: mrand.Uint64(),
@@ -117,6 +135,13 @@
 		for _, crs := range wrd.Crashes {
 			qua.Record(crs, clk.Now())
 		}
+		prs.fdg.Heard(from.Name, clk.Now().Add(-wrd.Confirmed), wrd.Lease > 0)
+		if wrd.Lease > 0 {
+			les.Tell(wrd.Lease, clk.Now().Add(-wrd.Renewed))
+		}
+		for _, bat := range wrd.Feed {
+			src.feed(bat)
+		}
 		return nil, nil
 	})
 	return prs
@@ -138,21 +163,48 @@
 		prs.sleep(ctx, keyPause)
 	}
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-		wrd := word{
-			Load: loadview.Announcement{
-				Instance: prs.instance,
-				Sequence: sequence,
-				Loads:    prs.plm.Loads(),
-			},
-			Crashes: prs.freshCrashes(),
-		}
+		wrd := prs.word(sequence)
+		feeds := prs.feedsOthers(wrd)
 		for name, adr := range prs.src.peers() {
+			wrd.Feed = nil
+			if feeds {
+				wrd.Feed = prs.fdg.Batches(name, prs.src.fed())
+			}
 			prs.announce(ctx, name, adr, wrd)
 		}
 		prs.sleep(ctx, loadview.Interval(prs.src.countDaemons()))
 	}
 }
 
+// word returns what this daemon tells all others now.
+func (prs *peers) word(sequence uint64) word {
+	wrd := word{
+		Load: loadview.Announcement{
+			Instance: prs.instance,
+			Sequence: sequence,
+			Loads:    prs.plm.Loads(),
+		},
+		Crashes:   prs.freshCrashes(),
+		Confirmed: prs.clk.Since(prs.src.registry().Direct()),
+	}
+	if ver, renewed, held := prs.les.Renewal(); held {
+		wrd.Lease = ver
+		wrd.Renewed = prs.clk.Since(renewed)
+	}
+	return wrd
+}
+
+// feedsOthers reports whether this daemon, which says wrd of itself, feeds the others with changes of the store.
+func (prs *peers) feedsOthers(wrd word) bool {
+	feeds := prs.src.large() && prs.fdg.Feeds(prs.clk.Now().Add(-wrd.Confirmed), wrd.Lease > 0, prs.clk.Now())
+	if feeds != prs.feeds {
+		prs.feeds = feeds
+		prs.log.Info("feeds the other daemons with changes of the store, or no longer",
+			zap.Bool("feeds", feeds), zap.Duration("confirmed", wrd.Confirmed), zap.Uint64("lease", wrd.Lease))
+	}
+	return feeds
+}
+
 // tellFor is the time for which a crash is told: a peer may miss some words while its connection is made anew.
 const tellFor = 2 * time.Second
 
@@ -241,6 +293,7 @@
 		prs.busy[name] = false
 		_, rested := prs.resting[name]
 		if err == nil {
+			prs.fdg.Sent(name, wrd.Feed)
 			if rested {
 				delete(prs.resting, name)
 				prs.log.Info("reaches a daemon again", zap.String("peer", name))
--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -29,10 +29,14 @@
 	// forms groups waits for gatherLeading only.
 	gatherServers = 250 * time.Millisecond
 	gatherLeading = 40 * time.Millisecond
-	// gatherEach is added for each daemon, so that the calls of all of them grow little with the fleet, and
-	// gatherShare bounds the pause by the time within which a change must be known.
-	gatherEach  = 18 * time.Millisecond
-	gatherShare = 0.6
+	// gatherEach is added for each daemon, so that the calls of all of them grow little with the fleet.
+	gatherEach = 18 * time.Millisecond
+	// knowShare is the share of the time within which a change must be known that may pass before the daemon asks
+	// the store; the rest is for the call.
+	knowShare = 0.6
+	// smallSite is the number of daemons up to which each watches the store by itself: beyond it, a feed saves more
+	// calls than the shorter watches of the daemons that feed cost.
+	smallSite = 12
 	// gatherDaemons is the pause after daemons came: a site that starts registers all of them.
 	gatherDaemons = 2 * time.Second
 	// gatherOthers is the pause after changes of other kinds.
@@ -90,27 +94,72 @@
 		addresses:  map[string]bool{},
 		out:        map[string]uint64{},
 	}
-	src.follow(platform.KindServer, src.gatherServers, src.takeServers)
-	src.follow(platform.KindConfig, func() time.Duration { return gatherOthers }, src.takeConfig)
-	src.follow(platform.KindEvacuation, func() time.Duration { return gatherOthers }, src.takeEvacuations)
-	src.follow(objects.KindDaemon, func() time.Duration { return gatherDaemons }, src.takeDaemons)
+	no := func() bool { return false }
+	others := func() time.Duration { return gatherOthers }
+	src.follow(platform.KindServer, src.gatherServers, src.feedTrust(), les.Held, src.takeServers)
+	src.follow(platform.KindConfig, others, src.feedTrust(), no, src.takeConfig)
+	src.follow(platform.KindEvacuation, others, src.feedTrust(), no, src.takeEvacuations)
+	src.follow(objects.KindDaemon, func() time.Duration { return gatherDaemons }, 0, no, src.takeDaemons)
 	return src
 }
 
-func (src *sources) follow(kind string, gather func() time.Duration, take func(objs []objects.Object, whole bool)) {
+func (src *sources) follow(
+	kind string,
+	gather func() time.Duration,
+	trust time.Duration,
+	own func() bool,
+	take func(objs []objects.Object, whole bool),
+) {
 	cfg := follow.Config{
 		Kind:   kind,
 		Gather: gather,
+		Trust:  trust,
+		Fed:    src.large,
+		Own:    own,
 	}
 	src.fols[kind] = follow.New(cfg, src.pst, take, src.clk, src.log)
 }
 
+// large reports whether the daemons feed each other with changes of the store.
+func (src *sources) large() bool {
+	return src.countDaemons() > smallSite
+}
+
+// feedTrust is the time for which a copy that is fed counts as current.
+func (src *sources) feedTrust() time.Duration {
+	return time.Duration(float64(src.set.Site.KnowWithin) * knowShare)
+}
+
+// fed returns the followers of the kinds that daemons feed each other with.
+func (src *sources) fed() []*follow.Follower {
+	return []*follow.Follower{
+		src.registry(),
+		src.fols[platform.KindConfig],
+		src.fols[platform.KindEvacuation],
+	}
+}
+
+// feed takes changes of the store that another daemon passed on.
+func (src *sources) feed(bat follow.Batch) {
+	if fol, ok := src.fols[bat.Kind]; ok && src.large() {
+		fol.Feed(bat)
+	}
+}
+
+// registry returns the follower of the backend servers.
+func (src *sources) registry() *follow.Follower {
+	return src.fols[platform.KindServer]
+}
+
+// gatherServers grows on a small site with the number of daemons, each of which watches the store.
 func (src *sources) gatherServers() time.Duration {
 	if src.les.Held() {
 		return gatherLeading
 	}
-	most := time.Duration(float64(src.set.Site.KnowWithin) * gatherShare)
-	return min(max(gatherServers, time.Duration(src.countDaemons())*gatherEach), most)
+	if src.large() {
+		return gatherServers
+	}
+	return min(max(gatherServers, time.Duration(src.countDaemons())*gatherEach), src.feedTrust())
 }
 
 func (src *sources) run(ctx context.Context, wgr *sync.WaitGroup) {
@@ -323,12 +372,12 @@
 
 // settled reports whether the copy of the registry has been current for at least span.
 func (src *sources) settled(span time.Duration) bool {
-	return src.fols[platform.KindServer].Settled(span)
+	return src.registry().Settled(span)
 }
 
 // ready reports whether the daemon can serve: it knows the configuration and the backend servers.
 func (src *sources) ready() bool {
-	return !src.stopping.Load() && src.table.Load() != nil && !src.fols[platform.KindServer].Heard().IsZero()
+	return !src.stopping.Load() && src.table.Load() != nil && !src.registry().Heard().IsZero()
 }
 
 // fail makes readiness fail for good.
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -148,7 +148,13 @@
 	if !stw.sea.Foremost() {
 		pause = lateSeek
 	}
-	if !stw.les.Held() && now.Sub(stw.lookedAt) < pause {
+	last := stw.lookedAt
+	if told := stw.les.Told(); told.After(last) {
+		// A holder that tells of its renewals needs no look before its lease ends.
+		last = told
+		pause = max(pause, stw.les.Duration())
+	}
+	if !stw.les.Held() && now.Sub(last) < pause {
 		return
 	}
 	stw.lookedAt = now
