Feed each zone by a daemon of its own, date frames by the receiver's stamp, space retries

Frames and sends waited on the links for a second, and a copy counted as fresh by the time at which its frame was read. Ruled out: starved daemons (0.03 of a core at most), clients behind cut links. Change: a daemon feeds its zone only; a receiver dates a frame by its own last stamp that the frame echoes; batches are deflated, so that a configuration of 250 routes fits; a follower whose watch fails asks again after 100, 200, 400 ms and so on instead of each 100 ms, and needs no list while it is fed.

--- a/internal/feeding/feeding.go
+++ b/internal/feeding/feeding.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/cumintally/cumintally/internal/follow"
 )
 
@@ -11,56 +13,106 @@
 // two announcements of the largest site.
 const confirmedFor = 2500 * time.Millisecond
 
-// Feeding is one daemon's part in feeding the daemons of its site.
+// Stamp is a moment by the clock of one daemon's process.
+type Stamp struct {
+	_ struct{} `cbor:",toarray"`
+
+	Instance uint64
+	// Elapsed is the time since the process began to announce.
+	Elapsed time.Duration
+}
+
+// Word is what a daemon says of itself to the others of its zone.
+type Word struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Confirmed is the time since the store itself confirmed the daemon's copy of the registry.
+	Confirmed time.Duration
+	// Leads says that the daemon holds the site's lease.
+	Leads bool
+	// Now is when the daemon said so.
+	Now Stamp
+}
+
+// Feed is what one daemon passes on to another.
+type Feed struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Echo is the receiver's last stamp that the sender knows, and Held the time since it came. Together they bound
+	// the age of the batches by the receiver's own clock, however long the frame was on its way.
+	Echo    Stamp
+	Held    time.Duration
+	Batches []follow.Batch
+}
+
+// Feeding is one daemon's part in feeding the daemons of its availability zone.
 type Feeding struct {
-	self string
+	self     string
+	instance uint64
+	started  time.Time
+	clk      clockwork.Clock
 
 	mu sync.Mutex
-	// words holds what the other daemons said of themselves.
-	words map[string]word
+	// words holds what the other daemons of the zone said of themselves.
+	words map[string]heard
 	// sent holds, by daemon and kind, the revision up to which changes were sent.
 	sent map[string]map[string]uint64
 }
 
-// word is what a daemon said of itself.
-type word struct {
-	confirmed time.Time
-	leads     bool
+// heard is a word and when it came.
+type heard struct {
+	word Word
+	at   time.Time
 }
 
-// New returns the part of the daemon named self.
-func New(self string) *Feeding {
+// New returns the part of the daemon named self, whose process is named by instance.
+func New(self string, instance uint64, clk clockwork.Clock) *Feeding {
 	return &Feeding{
-		self:  self,
-		words: map[string]word{},
-		sent:  map[string]map[string]uint64{},
+		self:     self,
+		instance: instance,
+		started:  clk.Now(),
+		clk:      clk,
+		words:    map[string]heard{},
+		sent:     map[string]map[string]uint64{},
+	}
+}
+
+// Say returns the daemon's word, given when the store itself confirmed its copy of the registry.
+func (fdg *Feeding) Say(confirmed time.Time, leads bool) Word {
+	return Word{
+		Confirmed: fdg.clk.Since(confirmed),
+		Leads:     leads,
+		Now: Stamp{
+			Instance: fdg.instance,
+			Elapsed:  fdg.clk.Since(fdg.started),
+		},
 	}
 }
 
-// Heard notes what a daemon said of itself: when the store confirmed its copy, and whether it holds the site's lease.
-func (fdg *Feeding) Heard(daemon string, confirmed time.Time, leads bool) {
+// Hear notes the word of another daemon of the zone.
+func (fdg *Feeding) Hear(daemon string, wrd Word) {
 	fdg.mu.Lock()
 	defer fdg.mu.Unlock()
-	fdg.words[daemon] = word{
-		confirmed: confirmed,
-		leads:     leads,
+	fdg.words[daemon] = heard{
+		word: wrd,
+		at:   fdg.clk.Now(),
 	}
 }
 
-// Feeds reports whether this daemon feeds the others, given when the store confirmed its own copy and whether it
-// holds the site's lease.
-func (fdg *Feeding) Feeds(confirmed time.Time, leads bool, now time.Time) bool {
-	if now.Sub(confirmed) >= confirmedFor {
+// Feeds reports whether this daemon, whose word is own, feeds the others of its zone.
+func (fdg *Feeding) Feeds(own Word) bool {
+	if own.Confirmed >= confirmedFor {
 		return false
 	}
 	fdg.mu.Lock()
 	defer fdg.mu.Unlock()
-	for daemon, wrd := range fdg.words {
-		if now.Sub(wrd.confirmed) >= confirmedFor {
+	now := fdg.clk.Now()
+	for daemon, hrd := range fdg.words {
+		if now.Sub(hrd.at)+hrd.word.Confirmed >= confirmedFor {
 			continue
 		}
-		if wrd.leads != leads {
-			if wrd.leads {
+		if hrd.word.Leads != own.Leads {
+			if hrd.word.Leads {
 				return false
 			}
 			continue
@@ -72,31 +124,61 @@
 	return true
 }
 
-// Batches returns what a daemon lacks of the kinds that fols follow.
-func (fdg *Feeding) Batches(daemon string, fols []*follow.Follower) []follow.Batch {
-	var bats []follow.Batch
+// For returns what a daemon lacks of the kinds that fols follow, empty for a daemon that has not been heard.
+func (fdg *Feeding) For(daemon string, fols []*follow.Follower) Feed {
+	fdg.mu.Lock()
+	defer fdg.mu.Unlock()
+	hrd, ok := fdg.words[daemon]
+	if !ok {
+		return Feed{}
+	}
+	fed := Feed{
+		Echo: hrd.word.Now,
+		Held: fdg.clk.Since(hrd.at),
+	}
 	for _, fol := range fols {
-		fdg.mu.Lock()
 		since, ok := fdg.sent[daemon][fol.Kind()]
-		fdg.mu.Unlock()
 		if !ok {
-			since = fol.Recent()
+			since = fol.Revision()
 		}
 		if bat, ok := fol.Changes(since); ok {
-			bats = append(bats, bat)
+			fed.Batches = append(fed.Batches, bat)
 		}
 	}
-	return bats
+	return fed
 }
 
-// Sent notes that bats were sent to a daemon.
-func (fdg *Feeding) Sent(daemon string, bats []follow.Batch) {
+// Sent notes that fed was sent to a daemon.
+func (fdg *Feeding) Sent(daemon string, fed Feed) {
 	fdg.mu.Lock()
 	defer fdg.mu.Unlock()
 	if fdg.sent[daemon] == nil {
 		fdg.sent[daemon] = map[string]uint64{}
 	}
-	for idx := range bats {
-		fdg.sent[daemon][bats[idx].Kind] = bats[idx].Revision
+	for idx := range fed.Batches {
+		fdg.sent[daemon][fed.Batches[idx].Kind] = fed.Batches[idx].Revision
+	}
+}
+
+// SentAt returns the earliest time at which fed can have been sent, false for one that was meant for another process.
+func (fdg *Feeding) SentAt(fed Feed) (time.Time, bool) {
+	if fed.Echo.Instance != fdg.instance {
+		return time.Time{}, false
+	}
+	return fdg.started.Add(fed.Echo.Elapsed + fed.Held), true
+}
+
+// Take hands the batches of fed to the followers of their kinds.
+func (fdg *Feeding) Take(fed Feed, fols []*follow.Follower) {
+	sent, ok := fdg.SentAt(fed)
+	if !ok {
+		return
+	}
+	for _, bat := range fed.Batches {
+		for _, fol := range fols {
+			if fol.Kind() == bat.Kind {
+				fol.Feed(bat, sent)
+			}
+		}
 	}
 }
--- a/internal/feeding/feeding_test.go
+++ b/internal/feeding/feeding_test.go
@@ -6,22 +6,23 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/cumintally/cumintally/internal/feeding"
 )
 
-// TestWhoFeeds guards against a site that nobody feeds, or that all feed, while some daemon has the store's word.
+// TestWhoFeeds guards against a zone that no daemon feeds, or all of them, while some daemon has the store's word.
 func TestWhoFeeds(tst *testing.T) {
-	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	fresh, stale := now.Add(-time.Second), now.Add(-4*time.Second)
+	const fresh, stale = time.Second, 4 * time.Second
 	type word struct {
 		name      string
-		confirmed time.Time
+		confirmed time.Duration
 		leads     bool
 	}
 	cases := []struct {
 		name      string
 		words     []word
-		confirmed time.Time
+		confirmed time.Duration
 		leads     bool
 		want      bool
 	}{
@@ -79,11 +80,38 @@
 	}
 	for _, cse := range cases {
 		tst.Run(cse.name, func(tst *testing.T) {
-			fdg := feeding.New("m")
+			clk := clockwork.NewFakeClock()
+			fdg := feeding.New("m", 1, clk)
 			for _, wrd := range cse.words {
-				fdg.Heard(wrd.name, wrd.confirmed, wrd.leads)
+				fdg.Hear(wrd.name, feeding.Word{
+					Confirmed: wrd.confirmed,
+					Leads:     wrd.leads,
+				})
 			}
-			qt.Check(tst, fdg.Feeds(cse.confirmed, cse.leads, now), qt.Equals, cse.want)
+			own := fdg.Say(clk.Now().Add(-cse.confirmed), cse.leads)
+			qt.Check(tst, fdg.Feeds(own), qt.Equals, cse.want)
 		})
 	}
 }
+
+// TestEcho guards against a copy that counts as current by a frame that waited on its way or was meant for a process
+// before this one: its age is bounded by the receiver's own stamp.
+func TestEcho(tst *testing.T) {
+	clk := clockwork.NewFakeClock()
+	feeder := feeding.New("a", 1, clk)
+	fed := feeding.New("b", 2, clk)
+	reborn := feeding.New("b", 3, clk)
+	qt.Check(tst, feeder.For("b", nil), qt.DeepEquals, feeding.Feed{}, qt.Commentf("nobody is fed before it was heard"))
+
+	clk.Advance(time.Second)
+	feeder.Hear("b", fed.Say(clk.Now(), false))
+	clk.Advance(time.Second)
+	frm := feeder.For("b", nil)
+	at := clk.Now()
+	clk.Advance(time.Minute)
+	sent, ok := fed.SentAt(frm)
+	qt.Check(tst, ok, qt.IsTrue)
+	qt.Check(tst, sent, qt.Equals, at)
+	_, ok = reborn.SentAt(frm)
+	qt.Check(tst, ok, qt.IsFalse)
+}
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -74,47 +74,46 @@
 // Run follows the kind until ctx ends.
 func (fol *Follower) Run(ctx context.Context) {
 	pause := leastPause
+	current := false
 	for ctx.Err() == nil {
-		if fol.follow(ctx) {
+		if fol.awaitFeed(ctx) {
+			// The feed went on from the own position.
+			current = true
+			continue
+		}
+		err := fol.ask(ctx, current)
+		if err == nil {
+			current = true
 			pause = leastPause
+			continue
 		}
+		lost := fol.failed(ctx, err)
+		// A watch that was cut can go on where it was, unless its position may be too old.
+		current = current && errors.Is(err, objects.ErrUnavailable) && lost <= mostPause
 		fol.sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
 		pause = min(2*pause, mostPause)
 	}
 }
 
-// follow lists and watches until a call fails; it reports whether any succeeded.
-func (fol *Follower) follow(ctx context.Context) bool {
-	objs, rev, err := fol.pst.List(ctx, fol.cfg.Kind)
+// ask lists the kind or, from a position that is current, watches it.
+func (fol *Follower) ask(ctx context.Context, current bool) error {
+	if !current {
+		objs, rev, err := fol.pst.List(ctx, fol.cfg.Kind)
+		if err == nil {
+			fol.listed(objs, rev)
+		}
+		return errors.Trace(err)
+	}
+	since := fol.Revision()
+	objs, next, err := fol.watch(ctx, since)
 	if err != nil {
-		fol.failed(ctx, err)
-		return false
+		return errors.Trace(err)
 	}
-	fol.listed(objs, rev)
-	for ctx.Err() == nil {
-		if fol.awaitFeed(ctx) {
-			continue
-		}
-		since := fol.Revision()
-		objs, next, err := fol.watch(ctx, since)
-		if errors.Is(err, objects.ErrUnavailable) && ctx.Err() == nil {
-			// A watch that was cut can go on where it was.
-			fol.failed(ctx, err)
-			if !fol.resume(ctx) {
-				return true
-			}
-			continue
-		}
-		if err != nil {
-			fol.failed(ctx, err)
-			return true
-		}
-		fol.watched(since, next, objs)
-		if len(objs) > 0 {
-			fol.sleep(ctx, fol.cfg.Gather())
-		}
+	fol.watched(since, next, objs)
+	if len(objs) > 0 {
+		fol.sleep(ctx, fol.cfg.Gather())
 	}
-	return true
+	return nil
 }
 
 func (fol *Follower) watch(ctx context.Context, since uint64) ([]objects.Object, uint64, error) {
@@ -147,12 +146,16 @@
 	return true
 }
 
-// Feed takes changes from another daemon; a batch that begins after the own position is left to the store.
-func (fol *Follower) Feed(bat Batch) {
+// Feed takes changes that another daemon sent at the time sent or later; a batch that begins after the own position is
+// left to the store.
+func (fol *Follower) Feed(bat Batch, sent time.Time) {
+	if !fol.feeds() {
+		return
+	}
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
 	now := fol.clk.Now()
-	heard := now.Add(-bat.Age)
+	heard := sent.Add(-bat.Age)
 	if fol.revision == 0 || now.Sub(heard) >= fol.cfg.Trust {
 		return
 	}
@@ -168,7 +171,12 @@
 		}
 		return
 	}
-	fol.advance(bat.Since, bat.Revision, bat.Objects)
+	objs, err := unpack(bat.Packed)
+	if err != nil {
+		fol.log.Warn("cannot read changes that another daemon passed on", zap.String("kind", bat.Kind), logging.Error(err))
+		return
+	}
+	fol.advance(bat.Since, bat.Revision, objs)
 	if bat.Revision >= fol.revision {
 		fol.confirmed(heard)
 		if until := heard.Add(fol.cfg.Trust); until.After(fol.fedUntil) {
@@ -192,13 +200,12 @@
 		Revision: fol.revision,
 		Age:      age,
 	}
-	objs, ok := fol.history.since(rev)
-	if !ok || rev > fol.revision {
-		// The follower notices the gap and asks the store.
+	var ok bool
+	if bat.Packed, ok = fol.history.packed(rev); !ok || rev > fol.revision {
+		// The receiver notices the gap and asks the store.
 		bat.Since = fol.revision
-		return bat, true
+		bat.Packed = nil
 	}
-	bat.Objects = objs
 	return bat, true
 }
 
@@ -209,9 +216,9 @@
 	fol.take(objs, true)
 	fol.revision = rev
 	fol.history = history{}
-	fol.history.add(Batch{
-		Since:    rev,
-		Revision: rev,
+	fol.history.add(step{
+		since:    rev,
+		revision: rev,
 	})
 	fol.confirmedDirectly()
 }
@@ -233,26 +240,14 @@
 	if len(objs) > 0 {
 		fol.take(objs, false)
 	}
-	fol.history.add(Batch{
-		Since:    min(since, fol.revision),
-		Revision: next,
-		Objects:  objs,
+	fol.history.add(step{
+		since:    min(since, fol.revision),
+		revision: next,
+		objs:     objs,
 	})
 	fol.revision = next
 }
 
-// resume waits before a cut watch is tried again; it reports false when the position may be too old by then.
-func (fol *Follower) resume(ctx context.Context) bool {
-	fol.mu.Lock()
-	lost := fol.lost
-	fol.mu.Unlock()
-	if !lost.IsZero() && fol.clk.Since(lost) > mostPause {
-		return false
-	}
-	fol.sleep(ctx, leastPause/2+time.Duration(rand.Int64N(int64(leastPause))))
-	return true
-}
-
 func (fol *Follower) sleep(ctx context.Context, span time.Duration) {
 	if span <= 0 {
 		return
@@ -281,17 +276,19 @@
 	fol.heard = heard
 }
 
-func (fol *Follower) failed(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
+// failed notes a failure of the store and returns for how long it has failed.
+func (fol *Follower) failed(ctx context.Context, err error) time.Duration {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
+	if ctx.Err() != nil {
+		return 0
+	}
 	if fol.lost.IsZero() {
 		fol.lost = fol.clk.Now()
 		fol.log.Warn("the store does not answer; the last copy stays in use",
 			zap.String("kind", fol.cfg.Kind), zap.Time("lastAnswer", fol.heard), logging.Error(err))
 	}
+	return fol.clk.Since(fol.lost)
 }
 
 // Heard returns when the store last confirmed the copy, zero if it never did.
@@ -313,13 +310,6 @@
 	return fol.revision
 }
 
-// Recent returns a revision that a daemon whose position is not known has probably reached.
-func (fol *Follower) Recent() uint64 {
-	fol.mu.Lock()
-	defer fol.mu.Unlock()
-	return fol.history.recent()
-}
-
 // Direct returns when the store last confirmed the copy to this daemon itself, zero if it never did.
 func (fol *Follower) Direct() time.Time {
 	fol.mu.Lock()
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -1,13 +1,17 @@
 package follow_test
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
+	"crypto/rand"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -163,12 +167,29 @@
 	}
 }
 
+// packed returns one changed object as a batch carries it.
+func packed(tst *testing.T, name string, version uint64, value []byte) []byte {
+	tst.Helper()
+	var buf bytes.Buffer
+	wrt, err := flate.NewWriter(&buf, flate.BestSpeed)
+	qt.Assert(tst, err, qt.IsNil)
+	obj := objects.Object{
+		Kind:    kind,
+		Name:    name,
+		Version: version,
+		Value:   value,
+	}
+	qt.Assert(tst, cbor.NewEncoder(wrt).Encode([]objects.Object{obj}), qt.IsNil)
+	qt.Assert(tst, wrt.Close(), qt.IsNil)
+	return buf.Bytes()
+}
+
 // feed passes on what fed lacks.
-func feed(tst *testing.T, from, fed *follow.Follower) {
+func feed(tst *testing.T, clk clockwork.Clock, from, fed *follow.Follower) {
 	tst.Helper()
 	bat, ok := from.Changes(fed.Revision())
 	qt.Assert(tst, ok, qt.IsTrue)
-	fed.Feed(bat)
+	fed.Feed(bat, clk.Now())
 }
 
 // TestFedCopyCostsNoCalls guards against a fleet whose calls to the store grow with its size: a daemon that is fed
@@ -179,21 +200,21 @@
 	one, _ := started(tst, reg, clk)
 	eventually(tst, func() bool { return reg.made() == 1 })
 	two, cop := started(tst, reg, clk)
-	feed(tst, one, two)
+	feed(tst, clk, one, two)
 	// The second daemon's watch under way, if any, ends with this change; it makes no other.
 	reg.put("s0")
 	eventually(tst, func() bool { return one.Revision() == 2 })
-	feed(tst, one, two)
+	feed(tst, clk, one, two)
 	eventually(tst, func() bool { return cop.version("s0") == 2 })
 	clk.Advance(trust / 2)
 	reg.put("s1")
 	eventually(tst, func() bool { return one.Revision() == 3 })
-	feed(tst, one, two)
+	feed(tst, clk, one, two)
 	before := reg.made()
 	for num := range 20 {
 		reg.put("s2")
 		eventually(tst, func() bool { return one.Revision() == uint64(4+num) })
-		feed(tst, one, two)
+		feed(tst, clk, one, two)
 	}
 	qt.Check(tst, cop.version("s2"), qt.Equals, uint64(23))
 	qt.Check(tst, reg.made()-before <= 21, qt.IsTrue, qt.Commentf("%d watches for 20 changes", reg.made()-before))
@@ -206,7 +227,7 @@
 	clk := clockwork.NewFakeClock()
 	one, _ := started(tst, cut, clk)
 	two, cop := started(tst, reg, clk)
-	feed(tst, one, two)
+	feed(tst, clk, one, two)
 	cut.setDown(true)
 	reg.put("s0")
 	clk.Advance(trust)
@@ -215,24 +236,34 @@
 	eventually(tst, func() bool { return cop.version("s0") == 2 })
 }
 
+// TestSlowFrame guards against a copy that counts as current since the frame that says so was on its way for long.
+func TestSlowFrame(tst *testing.T) {
+	reg := newRegistry()
+	clk := clockwork.NewFakeClock()
+	one, _ := started(tst, reg, clk)
+	two, _ := started(tst, newRegistry(), clk)
+	bat, ok := one.Changes(two.Revision())
+	qt.Assert(tst, ok, qt.IsTrue)
+	before := two.Heard()
+	clk.Advance(trust)
+	two.Feed(bat, clk.Now().Add(-trust))
+	qt.Check(tst, two.Heard(), qt.Equals, before)
+}
+
 // TestGapIsClosed guards against a change that is lost since the feeder began later, or has dropped it by now.
 func TestGapIsClosed(tst *testing.T) {
 	reg := newRegistry()
 	clk := clockwork.NewFakeClock()
 	two, cop := started(tst, reg, clk)
 	one, _ := started(tst, reg, clk)
-	feed(tst, one, two)
+	feed(tst, clk, one, two)
 	reg.put("s0")
 	two.Feed(follow.Batch{
 		Kind:     kind,
-		Since:    2,
-		Revision: 3,
-		Objects: []objects.Object{{
-			Kind:    kind,
-			Name:    "s1",
-			Version: 3,
-		}},
-	})
+		Since:    3,
+		Revision: 4,
+		Packed:   packed(tst, "s1", 4, nil),
+	}, clk.Now())
 	eventually(tst, func() bool { return cop.version("s0") == 2 })
 	qt.Check(tst, cop.version("s1"), qt.Equals, uint64(0))
 }
@@ -243,19 +274,33 @@
 	clk := clockwork.NewFakeClock()
 	one, _ := started(tst, reg, clk)
 	from := one.Revision()
+	// Random bytes cannot be compressed.
+	value := make([]byte, 100_000)
+	_, err := rand.Read(value)
+	qt.Assert(tst, err, qt.IsNil)
 	one.Feed(follow.Batch{
 		Kind:     kind,
 		Since:    from,
 		Revision: from + 1,
-		Objects: []objects.Object{{
-			Kind:    kind,
-			Name:    "large",
-			Version: from + 1,
-			Value:   make([]byte, 100_000),
-		}},
-	})
+		Packed:   packed(tst, "large", from+1, value),
+	}, clk.Now())
 	bat, ok := one.Changes(from)
 	qt.Assert(tst, ok, qt.IsTrue)
-	qt.Check(tst, bat.Objects, qt.HasLen, 0)
+	qt.Check(tst, bat.Packed, qt.HasLen, 0)
 	qt.Check(tst, bat.Since, qt.Equals, from+1, qt.Commentf("the receiver sees a gap"))
 }
+
+// TestRetriesAreSpaced guards against daemons that spend the store's rate while it fails: a follower whose watches are
+// cut asks again after growing pauses.
+func TestRetriesAreSpaced(tst *testing.T) {
+	reg := newRegistry()
+	clk := clockwork.NewFakeClock()
+	started(tst, reg, clk)
+	eventually(tst, func() bool { return reg.made() == 1 })
+	reg.setDown(true)
+	for range 100 {
+		clk.Advance(15 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+	qt.Check(tst, reg.made() <= 8, qt.IsTrue, qt.Commentf("%d watches in 1.5 s of failure", reg.made()))
+}
--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -15,7 +15,6 @@
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/feeding"
-	"github.com/cumintally/cumintally/internal/follow"
 	"github.com/cumintally/cumintally/internal/lease"
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/logging"
@@ -48,10 +47,9 @@
 
 	Load    loadview.Announcement
 	Crashes []quarantine.Crash
-	// Confirmed is the time since the store itself confirmed the daemon's copy of the registry, and Feed what the
-	// store has said that the receiver lacks.
-	Confirmed time.Duration
-	Feed      []follow.Batch
+	// Self is what the daemon says of its copies of the store, and Feed what the receiver lacks of them.
+	Self feeding.Word
+	Feed feeding.Feed
 	// Lease is the version of the lease's record that the daemon wrote, 0 while it does not hold the lease, and
 	// Renewed the time since.
 	Lease   uint64
@@ -111,6 +109,7 @@
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *peers {
+	instance := mrand.Uint64()
 	prs := &peers{
 		set:      set,
 		src:      src,
@@ -118,11 +117,11 @@
 		msh:      msh,
 		viw:      viw,
 		plm:      plm,
-		fdg:      feeding.New(set.Entry.Name),
+		fdg:      feeding.New(set.Entry.Name, instance, clk),
 		les:      les,
 		clk:      clk,
 		log:      log.Named("peers"),
-		instance: mrand.Uint64(),
+		instance: instance,
 		resting:  map[string]time.Time{},
 		busy:     map[string]bool{},
 	}
@@ -135,13 +134,13 @@
 		for _, crs := range wrd.Crashes {
 			qua.Record(crs, clk.Now())
 		}
-		prs.fdg.Heard(from.Name, clk.Now().Add(-wrd.Confirmed), wrd.Lease > 0)
+		if from.AvailabilityZone == set.Entry.AvailabilityZone {
+			prs.fdg.Hear(from.Name, wrd.Self)
+			prs.fdg.Take(wrd.Feed, src.fed())
+		}
 		if wrd.Lease > 0 {
 			les.Tell(wrd.Lease, clk.Now().Add(-wrd.Renewed))
 		}
-		for _, bat := range wrd.Feed {
-			src.feed(bat)
-		}
 		return nil, nil
 	})
 	return prs
@@ -166,9 +165,9 @@
 		wrd := prs.word(sequence)
 		feeds := prs.feedsOthers(wrd)
 		for name, adr := range prs.src.peers() {
-			wrd.Feed = nil
+			wrd.Feed = feeding.Feed{}
 			if feeds {
-				wrd.Feed = prs.fdg.Batches(name, prs.src.fed())
+				wrd.Feed = prs.fdg.For(name, prs.src.fed())
 			}
 			prs.announce(ctx, name, adr, wrd)
 		}
@@ -184,23 +183,23 @@
 			Sequence: sequence,
 			Loads:    prs.plm.Loads(),
 		},
-		Crashes:   prs.freshCrashes(),
-		Confirmed: prs.clk.Since(prs.src.registry().Direct()),
+		Crashes: prs.freshCrashes(),
 	}
 	if ver, renewed, held := prs.les.Renewal(); held {
 		wrd.Lease = ver
 		wrd.Renewed = prs.clk.Since(renewed)
 	}
+	wrd.Self = prs.fdg.Say(prs.src.registry().Direct(), wrd.Lease > 0)
 	return wrd
 }
 
-// feedsOthers reports whether this daemon, which says wrd of itself, feeds the others with changes of the store.
+// feedsOthers reports whether this daemon, which says wrd of itself, feeds its availability zone with changes of the store.
 func (prs *peers) feedsOthers(wrd word) bool {
-	feeds := prs.src.large() && prs.fdg.Feeds(prs.clk.Now().Add(-wrd.Confirmed), wrd.Lease > 0, prs.clk.Now())
+	feeds := prs.src.large() && prs.fdg.Feeds(wrd.Self)
 	if feeds != prs.feeds {
 		prs.feeds = feeds
-		prs.log.Info("feeds the other daemons with changes of the store, or no longer",
-			zap.Bool("feeds", feeds), zap.Duration("confirmed", wrd.Confirmed), zap.Uint64("lease", wrd.Lease))
+		prs.log.Info("feeds its availability zone with changes of the store, or no longer",
+			zap.Bool("feeds", feeds), zap.Duration("confirmed", wrd.Self.Confirmed), zap.Uint64("lease", wrd.Lease))
 	}
 	return feeds
 }
--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -120,7 +120,7 @@
 	src.fols[kind] = follow.New(cfg, src.pst, take, src.clk, src.log)
 }
 
-// large reports whether the daemons feed each other with changes of the store.
+// large reports whether the daemons of an availability zone feed each other.
 func (src *sources) large() bool {
 	return src.countDaemons() > smallSite
 }
@@ -139,13 +139,6 @@
 	}
 }
 
-// feed takes changes of the store that another daemon passed on.
-func (src *sources) feed(bat follow.Batch) {
-	if fol, ok := src.fols[bat.Kind]; ok && src.large() {
-		fol.Feed(bat)
-	}
-}
-
 // registry returns the follower of the backend servers.
 func (src *sources) registry() *follow.Follower {
 	return src.fols[platform.KindServer]
