Bound the loads that groups need by the weight store's rate

Cause: loads ahead of need were bounded, joins of VMs without weights were not: a domain whose hosts come back empty started all of its loads at once. Ruled out: the holder before (a new one starts with no loads in hand). Before: TestLoadsForGroupsKeepTheRate starts 60 loads at once; after: no 5 s with more than 25 at 4 per second. Conclusion: all loads share one rate.

--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -17,6 +17,9 @@
 	finishFor = 6 * time.Second
 	// loadBurst is the number of loads ahead of need that may start at once.
 	loadBurst = 2
+	// startBurst is the number of loads of any kind that may start at once: as many as the weight store tolerates
+	// beyond its rate.
+	startBurst = 3
 	// stageAgain is the time after which weights that a host does not hold are loaded anew: longer than a load.
 	stageAgain = 40 * time.Second
 )
@@ -34,6 +37,10 @@
 	// progress above which none starts: more of them make each take longer.
 	LoadRate  float64
 	MostLoads int
+	// StartRate is the number of loads of any kind that may start per second, 0 for no limit.
+	StartRate float64
+	// Memory holds the model whose weights a VM holds in memory, by VM; a VM that is missing may hold none.
+	Memory map[string]string
 }
 
 // Standby is what a spare VM holds ready.
@@ -60,6 +67,9 @@
 	// loads is the number of loads ahead of need that may start now, as of loadsAt.
 	loads   float64
 	loadsAt time.Time
+	// starts is the number of loads of any kind that may start now, as of loadsAt. It is 0 at first: the controller
+	// before this one may have started as many as it could.
+	starts float64
 	// holds say until when a VM must not join: the head of its former group may still be open.
 	holds map[string]time.Time
 	// staged holds when the host of a VM was last told to load weights.
@@ -112,6 +122,9 @@
 		now:   now,
 		asked: map[string]bool{},
 	}
+	if !frm.loadsAt.IsZero() {
+		frm.starts = min(frm.starts+viw.StartRate*now.Sub(frm.loadsAt).Seconds(), startBurst)
+	}
 	frm.loads = min(frm.loads+viw.LoadRate*now.Sub(frm.loadsAt).Seconds(), max(loadBurst, viw.LoadRate))
 	frm.loadsAt = now
 	stp.loading = frm.loading(viw, now)
@@ -188,11 +201,15 @@
 	if !stp.freed(srv) {
 		return
 	}
+	loads := !slices.Contains(srv.Staged, grp.Model) && stp.viw.Memory[srv.ID] != grp.Model
+	if loads && !stp.mayStart() {
+		return
+	}
 	ids := make([]string, 0, len(grp.Members))
 	for _, mem := range grp.Members {
 		ids = append(ids, mem.VM)
 	}
-	stp.give(Order{
+	given := stp.give(Order{
 		Verb:    Join,
 		Server:  srv.ID,
 		Address: srv.Address,
@@ -201,6 +218,9 @@
 		Model:   grp.Model,
 		Members: ids,
 	})
+	if given && loads {
+		stp.frm.starts--
+	}
 }
 
 // freed reports whether a VM may join another group, and orders what is missing for it.
@@ -303,13 +323,19 @@
 		Members: []string{srv.ID},
 	}) {
 		stp.frm.loads--
+		stp.frm.starts--
 		stp.loading++
 	}
 }
 
 // mayLoad reports whether a load ahead of need may start now.
 func (stp *step) mayLoad() bool {
-	return stp.frm.loads >= 1 && stp.loading < stp.viw.MostLoads
+	return stp.frm.loads >= 1 && stp.mayStart() && stp.loading < stp.viw.MostLoads
+}
+
+// mayStart reports whether the weight store's rate permits another load now.
+func (stp *step) mayStart() bool {
+	return stp.viw.StartRate == 0 || stp.frm.starts >= 1
 }
 
 // loading returns the number of loads in progress: of VMs that join without weights at hand, and onto hosts.
@@ -345,6 +371,7 @@
 	}) {
 		stp.frm.staged[srv.ID] = stp.now
 		stp.frm.loads--
+		stp.frm.starts--
 		stp.loading++
 	}
 }
--- a/internal/formation/formation_test.go
+++ b/internal/formation/formation_test.go
@@ -1,6 +1,7 @@
 package formation_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -274,3 +275,59 @@
 	}
 	qt.Assert(tst, num, qt.Equals, 3)
 }
+
+// TestLoadsForGroupsKeepTheRate guards against a zone whose VMs all come back without weights: the loads for their
+// groups, those ahead of need included, exceed the weight store's rate in no 5 s, with the tolerance of a tenth and
+// three loads.
+func TestLoadsForGroupsKeepTheRate(tst *testing.T) {
+	const rate = 4
+	bch := newBench()
+	view := formation.View{
+		Service:   service,
+		Stages:    map[string]string{},
+		LoadRate:  rate * 0.4,
+		MostLoads: 3,
+		StartRate: rate,
+	}
+	var grps []group.Group
+	for num := range 60 {
+		id := fmt.Sprintf("vm-%d", num)
+		bch.report(id, "", 0, 0, roster.Alone)
+		if num%4 == 0 {
+			grps = append(grps, group.Group{
+				Name:    "small-" + id,
+				Fencing: 21,
+				Model:   "small",
+			})
+		}
+		grp := &grps[len(grps)-1]
+		grp.Members = append(grp.Members, group.Member{
+			VM: id,
+		})
+		view.Stages[id] = "large"
+	}
+	bch.alc.Groups = grps
+	view.Roster = bch.rst.View()
+	view.Allocations = []group.Allocation{bch.alc}
+	var starts []time.Time
+	joined := map[string]bool{}
+	for range 200 {
+		for _, ord := range bch.frm.Next(view, bch.now) {
+			if ord.Verb == formation.Join && !joined[ord.Server] {
+				joined[ord.Server] = true
+				starts = append(starts, bch.now)
+			}
+		}
+		bch.now = bch.now.Add(150 * time.Millisecond)
+	}
+	qt.Check(tst, len(joined), qt.Equals, 60)
+	for idx, first := range starts {
+		num := 0
+		for _, other := range starts[idx:] {
+			if other.Sub(first) < 5*time.Second {
+				num++
+			}
+		}
+		qt.Assert(tst, num <= rate*5*11/10+3, qt.IsTrue, qt.Commentf("%d loads in 5 s", num))
+	}
+}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -174,6 +174,8 @@
 	viw := formation.View{
 		LoadRate:  svc.Engine.LoadRate * aheadShare,
 		MostLoads: svc.Engine.LoadsAtOnce / 2,
+		StartRate: svc.Engine.LoadRate,
+		Memory:    sit.memory(),
 		Service:   svc.Name,
 		Roster:    rst,
 		Spares:    sit.spares(),
@@ -182,6 +184,7 @@
 	if stw.sea.Quiet() {
 		viw.LoadRate = quietLoads
 		viw.MostLoads = quietLoads
+		viw.StartRate = 0
 	}
 	for _, zone := range sit.zones {
 		viw.Allocations = append(viw.Allocations, stw.inv.Allocations(zone)...)
--- a/internal/steward/view.go
+++ b/internal/steward/view.go
@@ -142,6 +142,15 @@
 	return spares
 }
 
+// memory returns the models whose weights VMs hold in memory, by VM.
+func (sit *situation) memory() map[string]string {
+	mods := make(map[string]string, len(sit.obs.seen))
+	for id, sen := range sit.obs.seen {
+		mods[id] = sen.memory
+	}
+	return mods
+}
+
 // stages returns the models whose weights the hosts should hold, by VM: the model that the VM does not serve, so
 // that it can take part in a group of any model within seconds.
 func (sit *situation) stages() map[string]string {
