Add a soak of the prepared machines with daemons as processes

Daemons run as processes of their own on the stand-ins, each behind relays to the store, to its callers and to the other daemons: delays, resets, silence one way and both ways, a store that is down, refuses, forgets or loses answers, pauses, kills, planned stops, reloads, lost engines and backend servers, configurations. Callers keep their connections. The daemon now tells others AdvertisePeers, as the product's own daemon did. Not injected: steps of the machine's clock; cold limits are not checked here.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 KNOWN_RED := $(shell sed -n 's/^Test: *//p' KNOWN-RED.txt | paste -sd '|')
 PASS_OVER := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
-.PHONY: build run test race vet format lint spec fuzz
+.PHONY: build run test race soak vet format lint spec fuzz
 .PHONY: prove-control prove-config prove-groups prove-zones prove-requests prove-streams prove-bookings
 .PHONY: bench-relay bench-policy bench-bookings bench-control bench-capacity
 
@@ -25,6 +25,10 @@
 race: build
 	$(GO) test -count=1 -race $(PASS_OVER) ./...
 
+# Runs daemons as processes under random faults, one seed after another from SEED on.
+soak: build
+	$(GO) test -count=1 -timeout 0 ./platform -run TestSoak -v -soak.seed=$(SEED) -soak.seeds=$(or $(SEEDS),1) -soak.time=$(or $(SOAKTIME),6s)
+
 vet:
 	$(GO) vet ./...
 
--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -90,7 +91,7 @@
 	ide := peer.Identity{
 		Name:             set.Entry.Name,
 		AvailabilityZone: set.Entry.AvailabilityZone,
-		Address:          set.Listen.Peers,
+		Address:          cmp.Or(set.Listen.AdvertisePeers, set.Listen.Peers),
 	}
 	msh := peer.New(ide, []byte(set.Peers.Key), met, log)
 	msh.Dial = dial
--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -173,7 +174,7 @@
 func (src *sources) register(ctx context.Context) {
 	val, err := json.Marshal(daemon{
 		AvailabilityZone: src.set.Entry.AvailabilityZone,
-		Address:          src.set.Listen.Peers,
+		Address:          cmp.Or(src.set.Listen.AdvertisePeers, src.set.Listen.Peers),
 	})
 	for ctx.Err() == nil && err == nil {
 		_, err = src.pst.Put(ctx, objects.KindDaemon, src.set.Entry.Name, 0, val)
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -32,6 +32,18 @@
 	stopped bool
 }
 
+// StartProcess starts the program at path; what it prints is appended to the file log.
+func StartProcess(name, path string, args, env []string, log string) (*Process, error) {
+	prc := &Process{
+		Name: name,
+		path: path,
+		args: args,
+		env:  env,
+		log:  log,
+	}
+	return prc, errors.Trace(prc.start())
+}
+
 func (prc *Process) start() error {
 	prc.mu.Lock()
 	defer prc.mu.Unlock()
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/juju/errors"
@@ -25,6 +26,8 @@
 	// Drop holds bytes back, those of a close included, and passes them on when the cut ends, as TCP does
 	// that sends again. A connection that was opened during the cut is reset when the cut ends.
 	Drop Kind = "Drop"
+	// Delay passes bytes on later.
+	Delay Kind = "Delay"
 )
 
 // Cut separates the addresses of two IP prefixes.
@@ -34,6 +37,8 @@
 	Kind Kind
 	// OneWay cuts only what is sent from From to To.
 	OneWay bool
+	// Wait is the time by which a cut of kind Delay holds each piece back.
+	Wait time.Duration
 }
 
 // Faults are the cuts in force.
@@ -123,18 +128,18 @@
 	}
 }
 
-// cut returns the kind of the cut that holds for what src sends to dst, empty if there is none, and a
-// channel that is closed when the cuts change.
-func (lks *Links) cut(src, dst netip.Addr) (Kind, <-chan struct{}) {
+// cut returns the cut that holds for what src sends to dst, without a kind if there is none, and a channel that is
+// closed when the cuts change.
+func (lks *Links) cut(src, dst netip.Addr) (Cut, <-chan struct{}) {
 	lks.mu.Lock()
 	changed := lks.changed
 	lks.mu.Unlock()
 	for _, cut := range lks.flt.Get().Cuts {
 		if (cut.From.Contains(src) && cut.To.Contains(dst)) || (!cut.OneWay && cut.From.Contains(dst) && cut.To.Contains(src)) {
-			return cut.Kind, changed
+			return cut, changed
 		}
 	}
-	return "", changed
+	return Cut{}, changed
 }
 
 // worst returns the cut that hits a connection: one whose handshake loses its packets in either direction
@@ -142,17 +147,17 @@
 func (lks *Links) worst(src, dst netip.Addr) (Kind, <-chan struct{}) {
 	to, changed := lks.cut(src, dst)
 	from, _ := lks.cut(dst, src)
-	if to == Refuse || from == "" {
-		return to, changed
+	if to.Kind == Refuse || from.Kind == "" {
+		return to.Kind, changed
 	}
-	return from, changed
+	return from.Kind, changed
 }
 
 // relay passes bytes on between a client and the target until both have closed.
 func (lks *Links) relay(client *net.TCPConn, rel Relay) {
 	src := client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
 	dst := rel.Listen.Addr()
-	if kind, changed := lks.worst(src, dst); kind != "" {
+	if kind, changed := lks.worst(src, dst); kind == Drop || kind == Refuse {
 		for kind == Drop {
 			<-changed
 			kind, changed = lks.worst(src, dst)
@@ -200,9 +205,13 @@
 	buf := make([]byte, 16<<10)
 	for {
 		num, err := from.Read(buf)
-		for kind, changed := lks.cut(src, dst); kind == Drop; kind, changed = lks.cut(src, dst) {
+		cut, changed := lks.cut(src, dst)
+		for ; cut.Kind == Drop; cut, changed = lks.cut(src, dst) {
 			<-changed
 		}
+		if cut.Kind == Delay {
+			time.Sleep(cut.Wait)
+		}
 		if num > 0 {
 			if _, werr := to.Write(buf[:num]); werr != nil {
 				reset(from)
