--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -18,6 +18,9 @@
 	// leastPause and mostPause bound the pause after a failed call.
 	leastPause = 100 * time.Millisecond
 	mostPause  = 1600 * time.Millisecond
+	// ownInterval is the time in which a daemon that is fed notices that it has to watch the store itself: a part of
+	// the time in which a new holder of the lease acts.
+	ownInterval = 100 * time.Millisecond
 	// answerTime is the part of a watch's deadline in which the store answers; it holds the call for the rest.
 	answerTime = 500 * time.Millisecond
 )
@@ -141,7 +144,7 @@
 	select {
 	case <-ctx.Done():
 	case <-fol.gap:
-	case <-fol.clk.After(left):
+	case <-fol.clk.After(min(left, ownInterval)):
 	}
 	return true
 }
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -112,6 +113,9 @@
 
 // copied is what a follower has handed on.
 type copied struct {
+	// own says that the follower has to watch the store itself.
+	own atomic.Bool
+
 	mu    sync.Mutex
 	names map[string]uint64
 }
@@ -141,7 +145,7 @@
 		Gather: func() time.Duration { return 0 },
 		Trust:  trust,
 		Fed:    func() bool { return true },
-		Own:    func() bool { return false },
+		Own:    cop.own.Load,
 	}
 	fol := follow.New(cfg, reg.store(), cop.take, clk, zap.NewNop())
 	ctx, cancel := context.WithCancel(tst.Context())
@@ -250,6 +254,32 @@
 	qt.Check(tst, two.Heard(), qt.Equals, before)
 }
 
+// TestNewHolderWatches guards against a daemon that takes the lease and acts on what a feeder that is lost said last.
+func TestNewHolderWatches(tst *testing.T) {
+	reg := newRegistry()
+	clk := clockwork.NewFakeClock()
+	one, _ := started(tst, newRegistry(), clk)
+	two, cop := started(tst, reg, clk)
+	eventually(tst, func() bool { return reg.made() == 1 })
+	feed(tst, clk, one, two)
+	reg.put("s0")
+	eventually(tst, func() bool { return two.Revision() == 2 })
+	one.Feed(follow.Batch{
+		Kind:     kind,
+		Since:    one.Revision(),
+		Revision: 2,
+	}, clk.Now())
+	feed(tst, clk, one, two)
+	reg.put("s1")
+	cop.own.Store(true)
+	before := clk.Now()
+	eventually(tst, func() bool {
+		clk.Advance(10 * time.Millisecond)
+		return cop.version("s1") == 3
+	})
+	qt.Check(tst, clk.Since(before) < trust/2, qt.IsTrue, qt.Commentf("learned after %v", clk.Since(before)))
+}
+
 // TestGapIsClosed guards against a change that is lost since the feeder began later, or has dropped it by now.
 func TestGapIsClosed(tst *testing.T) {
 	reg := newRegistry()
