--- a/test/groups/watch_test.go
+++ b/test/groups/watch_test.go
@@ -119,6 +119,7 @@
 func (wat *watch) sample(ctx context.Context, at time.Time, passed time.Duration) {
 	serving := map[string]bool{}
 	members := map[string]string{}
+	var unanswered []string
 	for _, ent := range wat.flt.Entries {
 		if wat.isPaused(ent.Name) {
 			continue
@@ -127,6 +128,7 @@
 		sta, err := fleet.Status(asked, ent)
 		cancel()
 		if err != nil {
+			unanswered = append(unanswered, fmt.Sprintf("%s: %v", ent.Name, err))
 			continue
 		}
 		wat.check(at, ent, sta, serving, members)
@@ -141,6 +143,7 @@
 			up++
 		} else {
 			wat.down[name] += passed
+			wat.tst.Logf("%s is down at %s for %v; daemons without an answer: %q", name, at.Format("05.000"), passed, unanswered)
 		}
 	}
 	if up < wat.groups {
