--- a/test/groups/watch_test.go
+++ b/test/groups/watch_test.go
@@ -133,6 +133,10 @@
 		}
 		wat.check(at, ent, sta, serving, members)
 	}
+	if ctx.Err() != nil {
+		// The end of the watch interrupted the questions.
+		return
+	}
 	wat.mu.Lock()
 	defer wat.mu.Unlock()
 	wat.samples++
