Count loads against the weight store's rate only while it limits them

A start that loads weights onto 50 or 200 VMs left the count that far below zero, so that no load could start for the next 10 to 13 s of traffic. Before: TestLoadsWithoutALimitLeaveTheRate gives no order in that state; after: one.

--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -231,6 +231,13 @@
 // load gives an order that makes a VM load weights, as far as the weight store's rate permits.
 func (stp *step) load(ord Order) {
 	if stp.mayStart() && stp.give(ord) {
+		stp.started()
+	}
+}
+
+// started counts a load against the weight store's rate.
+func (stp *step) started() {
+	if stp.viw.StartRate > 0 {
 		stp.frm.starts--
 	}
 }
@@ -346,7 +353,7 @@
 		Members: []string{srv.ID},
 	}) {
 		stp.frm.loads--
-		stp.frm.starts--
+		stp.started()
 		stp.loading++
 	}
 }
@@ -394,7 +401,7 @@
 	}) {
 		stp.frm.staged[srv.ID] = stp.now
 		stp.frm.loads--
-		stp.frm.starts--
+		stp.started()
 		stp.loading++
 	}
 }
--- a/internal/formation/formation_test.go
+++ b/internal/formation/formation_test.go
@@ -339,3 +339,40 @@
 		qt.Assert(tst, num <= rate*5*11/10+3, qt.IsTrue, qt.Commentf("%d loads in 5 s", num))
 	}
 }
+
+// TestLoadsWithoutALimitLeaveTheRate guards against a site whose loads before its first request, which have no limit,
+// hold up the loads that it needs afterwards.
+func TestLoadsWithoutALimitLeaveTheRate(tst *testing.T) {
+	bch := newBench()
+	view := formation.View{
+		Service: service,
+	}
+	var members []group.Member
+	for num := range 40 {
+		id := fmt.Sprintf("vm-%d", num)
+		bch.report(id, "", 0, 0, roster.Alone)
+		members = append(members, group.Member{
+			VM: id,
+		})
+	}
+	bch.alc.Groups = []group.Group{
+		{
+			Name:    "small",
+			Fencing: 21,
+			Model:   "small",
+			Members: members,
+		},
+	}
+	view.Roster = bch.rst.View()
+	view.Allocations = []group.Allocation{bch.alc}
+	qt.Assert(tst, len(bch.frm.Next(view, bch.now)), qt.Equals, 40)
+	bch.report("vm-late", "", 0, 0, roster.Alone)
+	bch.alc.Groups[0].Members = append(members, group.Member{
+		VM: "vm-late",
+	})
+	view.StartRate = 4
+	view.Roster = bch.rst.View()
+	view.Allocations = []group.Allocation{bch.alc}
+	bch.now = bch.now.Add(300 * time.Millisecond)
+	qt.Assert(tst, len(bch.frm.Next(view, bch.now)), qt.Equals, 1)
+}
