--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -231,13 +231,6 @@
 // load gives an order that makes a VM load weights, as far as the weight store's rate permits.
 func (stp *step) load(ord Order) {
 	if stp.mayStart() && stp.give(ord) {
-		stp.started()
-	}
-}
-
-// started counts a load against the weight store's rate.
-func (stp *step) started() {
-	if stp.viw.StartRate > 0 {
 		stp.frm.starts--
 	}
 }
@@ -353,7 +346,7 @@
 		Members: []string{srv.ID},
 	}) {
 		stp.frm.loads--
-		stp.started()
+		stp.frm.starts--
 		stp.loading++
 	}
 }
@@ -401,7 +394,7 @@
 	}) {
 		stp.frm.staged[srv.ID] = stp.now
 		stp.frm.loads--
-		stp.started()
+		stp.frm.starts--
 		stp.loading++
 	}
 }
