End connections that send bytes without end, and heed servers that say they leave or ask for a pause

Cause: heads, answers to other requests and the answers to orders were read without a limit, so that one server that sends bytes without end filled the memory until the caller's deadline; answers were held up to 1 MB and events up to 1 MB each. Server-Leaving and Retry-After of a server's 503 were not read at all.

Heads are limited in bytes with all interim answers before them, skipped bodies, events and held answers to 64 KB each, answers passed on to 64 MB. A server that says it leaves counts as draining in every view of the roster, by its process, whatever its entry says; the daemons tell each other. One that asks for a pause is no candidate until its end, and a caller that is turned away learns of that time.

Ruled out: chunk extensions, trailers and chunks are bounded by net/http already (tests for them pass on the old code).

--- a/internal/health/board.go
+++ b/internal/health/board.go
@@ -30,6 +30,9 @@
 	span time.Duration
 	// progress is when the server last sent bytes to this daemon.
 	progress time.Time
+	// pausedUntil is until when the server's process that was born at pausedBorn wants no requests.
+	pausedUntil time.Time
+	pausedBorn  int64
 }
 
 // New returns an empty board.
@@ -115,12 +118,36 @@
 	return time.Time{}
 }
 
-// Keep forgets the servers that are not registered any more.
-func (brd *Board) Keep(known func(server string) bool) {
+// Pause notes that the process of a server that was born at born wants no requests before until.
+func (brd *Board) Pause(server string, born int64, until time.Time) {
 	brd.mu.Lock()
 	defer brd.mu.Unlock()
-	for id := range brd.servers {
-		if !known(id) {
+	rec := brd.record(server)
+	if rec.pausedBorn == born && rec.pausedUntil.After(until) {
+		return
+	}
+	rec.pausedBorn = born
+	rec.pausedUntil = until
+}
+
+// PausedUntil returns until when the process of a server that was born at born wants no requests, zero if it takes them.
+func (brd *Board) PausedUntil(server string, born int64, now time.Time) time.Time {
+	brd.mu.Lock()
+	defer brd.mu.Unlock()
+	rec, ok := brd.servers[server]
+	if !ok || rec.pausedBorn != born || !now.Before(rec.pausedUntil) {
+		return time.Time{}
+	}
+	return rec.pausedUntil
+}
+
+// Keep forgets the servers that are not registered any more. One that wants no requests is remembered until then,
+// since its entry may come back.
+func (brd *Board) Keep(known func(server string) bool, now time.Time) {
+	brd.mu.Lock()
+	defer brd.mu.Unlock()
+	for id, rec := range brd.servers {
+		if !known(id) && !now.Before(rec.pausedUntil) {
 			delete(brd.servers, id)
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -80,6 +80,8 @@
 	Forecast time.Duration
 	// Candidates is the number of backend servers that were considered.
 	Candidates int
+	// Back is the time until the first of those that want no requests for a while takes them again, 0 if there is none.
+	Back time.Duration
 }
 
 // Placement chooses backend servers for one daemon.
@@ -121,7 +123,7 @@
 // Choose picks a backend server and counts the request there. It fails with ErrNone, or with ErrBusy and the
 // forecast of the best one.
 func (plm *Placement) Choose(want Want, now time.Time) (Pick, error) {
-	srvs := plm.candidates(want, now)
+	srvs, back := plm.candidates(want, now)
 	// A server that failed this request, or that fails others, is better than none unless it is known to be gone.
 	sound := slices.DeleteFunc(slices.Clone(srvs), func(srv *roster.Server) bool {
 		return slices.Contains(want.Avoid, srv.ID) || !plm.brd.Usable(srv.ID, now) || (want.Service.Engine != nil && plm.silent(srv.ID, now))
@@ -153,8 +155,12 @@
 			Candidates: len(srvs),
 		}, nil
 	}
-	return Pick{}, errors.Annotatef(ErrNone, "service %s, model %q: %d registered, %d candidates, %d cold beyond their rate or failing",
-		want.Service.Name, want.Model, len(plm.sea.Roster().Service(want.Service.Name)), len(srvs), len(srvs))
+	pck := Pick{
+		Candidates: len(srvs),
+		Back:       back,
+	}
+	return pck, errors.Annotatef(ErrNone, "service %s, model %q: %d registered, %d candidates, %d cold beyond their rate or failing, next one back in %v",
+		want.Service.Name, want.Model, len(plm.sea.Roster().Service(want.Service.Name)), len(srvs), len(srvs), back.Round(time.Millisecond))
 }
 
 // silent reports whether an engine has sent nothing for a while although this daemon has requests in progress there:
@@ -177,10 +183,12 @@
 	return svc.ColdRate*plm.cfg.ColdExcess + plm.cfg.ColdReserve
 }
 
-// candidates returns the backend servers that may get the request.
-func (plm *Placement) candidates(want Want, now time.Time) []*roster.Server {
+// candidates returns the backend servers that may get the request, and the time until the first of those that want
+// none for a while takes them again.
+func (plm *Placement) candidates(want Want, now time.Time) ([]*roster.Server, time.Duration) {
 	viw := plm.sea.Roster()
 	var srvs []*roster.Server
+	var back time.Duration
 	for _, srv := range viw.Service(want.Service.Name) {
 		if srv.Draining || !plm.sea.InService(srv.Zone) {
 			continue
@@ -191,9 +199,15 @@
 		if srv.Cold(now) && want.Service.ColdRate > 0 && !plm.gte.Open(srv.ID, plm.coldRate(want.Service), now) {
 			continue
 		}
+		if until := plm.brd.PausedUntil(srv.ID, srv.Born, now); !until.IsZero() {
+			if left := until.Sub(now); back == 0 || left < back {
+				back = left
+			}
+			continue
+		}
 		srvs = append(srvs, srv)
 	}
-	return srvs
+	return srvs, back
 }
 
 // serves reports whether an engine is the head of a whole group that serves the model.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// maxEvent is the size of one event in bytes beyond which a stream counts as broken.
-	maxEvent = 1 << 20
+	// maxEvent is the size of one event in bytes beyond which a stream counts as broken: hundreds of times that of some
+	// tokens, while hundreds of such events fit into the memory of a small VM.
+	maxEvent = 64 << 10
 	// eventBuffer holds a usual event.
 	eventBuffer = 1 << 10
 )
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/cumintally/cumintally/internal/placement"
 	"github.com/cumintally/cumintally/internal/quarantine"
+	"github.com/cumintally/cumintally/internal/roster"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
@@ -53,6 +54,12 @@
 	Sealed bool
 	// AtFault is the ID of the backend server that is the cause of a failure, if it is named.
 	AtFault string
+	// Leaving says that the backend server is about to stop.
+	Leaving bool
+	// Pause is the time for which the backend server wants no requests from this daemon, 0 for none.
+	Pause time.Duration
+	// Unreadable is a header that was ignored, with its value; empty if there is none.
+	Unreadable string
 }
 
 // Format is how callers and backend servers spell what the relay needs to know.
@@ -77,4 +84,6 @@
 	// Quarantined reports whether a request must not run, and ReportCrash notes that a connection broke while it ran.
 	Quarantined func(fpr quarantine.Fingerprint, now time.Time) bool
 	ReportCrash func(crs quarantine.Crash, now time.Time)
+	// ReportLeaving notes that a backend server has said in an answer that it is about to stop.
+	ReportLeaving func(srv *roster.Server)
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		if err != nil {
-			run.busyFor = max(0, pick.Forecast-run.useful())
+			run.busyFor = max(0, pick.Forecast-run.useful(), pick.Back)
 			run.giveUp(ctx, err)
 			return
 		}
@@ -283,9 +283,9 @@
 func (run *run) take(ctx context.Context, watch *stallWatch, pick placement.Pick, ans *upstream.Answer) (outcome, error) {
 	server := pick.Server.ID
 	ver := run.rly.fmt.ReadAnswer(ans.Response)
+	run.hear(pick.Server, ver)
 	if ver.NotRun || ver.Elsewhere {
-		_, err := readWhole(ans)
-		ans.Finish(err == nil)
+		ans.Finish(ans.Skip() == nil)
 		if ver.AtFault != "" && ver.AtFault != server {
 			run.rly.brd.Exclude(server, run.rly.clk.Now())
 		}
@@ -298,6 +298,23 @@
 	return run.passWhole(ctx, watch, pick.Server, ans, ver)
 }
 
+// hear notes what a backend server says of itself in an answer.
+func (run *run) hear(srv *roster.Server, ver Verdict) {
+	rly := run.rly
+	if ver.Unreadable != "" {
+		rly.log.Warn("ignores a header of an answer", zap.String("request", run.facts.RequestID),
+			zap.String("server", srv.ID), zap.String("header", ver.Unreadable))
+	}
+	if ver.Leaving {
+		rly.sea.ReportLeaving(srv)
+	}
+	if ver.Pause > 0 {
+		rly.brd.Pause(srv.ID, srv.Born, rly.clk.Now().Add(ver.Pause))
+		rly.log.Info("a backend server wants no requests for a while", zap.String("request", run.facts.RequestID),
+			zap.String("server", srv.ID), zap.Duration("pause", ver.Pause))
+	}
+}
+
 // note logs a send that gave no answer for the caller.
 func (run *run) note(pick placement.Pick, out outcome, err error) {
 	if out == unknown {
--- a/internal/relay/whole.go
+++ b/internal/relay/whole.go
@@ -13,9 +13,13 @@
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
-// maxHeld is the size of an answer up to which it is read whole before the caller gets any of it, so that a
-// broken one can be asked for again.
-const maxHeld = 1 << 20
+const (
+	// maxHeld is the size in bytes of an answer up to which it is read whole before the caller gets any of it, so that a
+	// broken one can be asked for again. Some hundred of them fit into the memory of a small VM.
+	maxHeld = 64 << 10
+	// maxPassed bounds an answer in bytes; a longer one is cut off as one that does not end.
+	maxPassed = 64 << 20
+)
 
 // wholeAnswer is an answer that was read to its end.
 type wholeAnswer struct {
@@ -125,7 +129,14 @@
 	run.wrt.WriteHeader(ans.StatusCode)
 	_, err := run.wrt.Write(head)
 	if err == nil {
-		_, err = io.Copy(run.wrt, ans.Body)
+		var num int64
+		num, err = io.CopyN(run.wrt, ans.Body, maxPassed-int64(len(head)))
+		switch {
+		case errors.Is(err, io.EOF):
+			err = nil
+		case err == nil:
+			err = errors.Errorf("the answer exceeds %d bytes", num+int64(len(head)))
+		}
 	}
 	ans.Finish(err == nil)
 	if err != nil {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,9 +20,19 @@
 	servers map[string]Server
 	// gone holds when an entry was seen to vanish, so that the planner can wait for it to return.
 	gone map[string]time.Time
+	// left holds the processes that said themselves that they are about to stop, and when that was heard.
+	left map[Life]time.Time
 	view atomic.Pointer[View]
 }
 
+// Life is one process of a backend server, which may start again under its ID.
+type Life struct {
+	_ struct{} `cbor:",toarray"`
+
+	ID   string
+	Born int64
+}
+
 // View is an immutable state of the roster.
 type View struct {
 	servers  map[string]*Server
@@ -39,6 +49,7 @@
 	rst := &Roster{
 		servers: map[string]Server{},
 		gone:    map[string]time.Time{},
+		left:    map[Life]time.Time{},
 	}
 	rst.publish()
 	return rst
@@ -92,6 +103,27 @@
 	rst.publish()
 }
 
+// Leave notes that a process said that it is about to stop, whatever its entry says now or later; it reports whether
+// that is new.
+func (rst *Roster) Leave(lfe Life, now time.Time) bool {
+	rst.mu.Lock()
+	defer rst.mu.Unlock()
+	if _, ok := rst.left[lfe]; ok {
+		return false
+	}
+	for old, when := range rst.left {
+		if now.Sub(when) > forgetLeft {
+			delete(rst.left, old)
+		}
+	}
+	rst.left[lfe] = now
+	rst.publish()
+	return true
+}
+
+// forgetLeft is the time after which a process that said that it stops has stopped; it exceeds the life of any entry.
+const forgetLeft = 10 * time.Minute
+
 // forgetGone is the time after which a vanished entry is no longer remembered; groups are repaired long before.
 const forgetGone = time.Minute
 
@@ -118,6 +150,9 @@
 	}
 	for id := range rst.servers {
 		srv := rst.servers[id]
+		if _, ok := rst.left[srv.Life()]; ok {
+			srv.Draining = true
+		}
 		viw.servers[id] = &srv
 		viw.services[srv.Service] = append(viw.services[srv.Service], &srv)
 		if srv.Place.State != Alone && srv.Place.State != Joining {
--- a/internal/roster/server.go
+++ b/internal/roster/server.go
@@ -64,3 +64,11 @@
 func (srv *Server) Cold(now time.Time) bool {
 	return now.Before(srv.ColdUntil)
 }
+
+// Life returns the process that the entry is of.
+func (srv *Server) Life() Life {
+	return Life{
+		ID:   srv.ID,
+		Born: srv.Born,
+	}
+}
--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"encoding/json"
 	mrand "math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +22,7 @@
 	"github.com/cumintally/cumintally/internal/peer"
 	"github.com/cumintally/cumintally/internal/placement"
 	"github.com/cumintally/cumintally/internal/quarantine"
+	"github.com/cumintally/cumintally/internal/roster"
 	"github.com/cumintally/cumintally/internal/settings"
 )
 
@@ -48,6 +48,8 @@
 
 	Load    loadview.Announcement
 	Crashes []quarantine.Crash
+	// Leaving are the processes of backend servers that have said that they are about to stop.
+	Leaving []roster.Life
 	// Self is what the daemon says of its copies of the store, and Feed what the receiver lacks of them.
 	Self feeding.Word
 	Feed feeding.Feed
@@ -77,14 +79,9 @@
 	// resting holds until when a peer is left alone, and busy those to which a frame is on its way.
 	resting map[string]time.Time
 	busy    map[string]bool
-	// crashes are those that are told with each word until they are tellFor old.
-	crashes []toldCrash
-}
 
-// toldCrash is a crash that this daemon saw.
-type toldCrash struct {
-	crash quarantine.Crash
-	at    time.Time
+	crashes *news[quarantine.Crash]
+	leaving *news[roster.Life]
 }
 
 func newMesh(set *settings.Settings, met metrics.Registry, log *zap.Logger) *peer.Mesh {
@@ -125,6 +122,8 @@
 		instance: instance,
 		resting:  map[string]time.Time{},
 		busy:     map[string]bool{},
+		crashes:  newNews[quarantine.Crash](clk),
+		leaving:  newNews[roster.Life](clk),
 	}
 	msh.Handle(kindWord, func(_ context.Context, from peer.Identity, body []byte) (any, error) {
 		var wrd word
@@ -135,6 +134,9 @@
 		for _, crs := range wrd.Crashes {
 			qua.Record(crs, clk.Now())
 		}
+		for _, lfe := range wrd.Leaving {
+			src.leaves(lfe, from.Name)
+		}
 		if from.AvailabilityZone == set.Entry.AvailabilityZone {
 			prs.fdg.Hear(from.Name, wrd.Self)
 			prs.fdg.Take(wrd.Feed, src.fed())
@@ -184,8 +186,12 @@
 			Sequence: sequence,
 			Loads:    prs.plm.Loads(),
 		},
-		Crashes: prs.freshCrashes(),
 	}
+	prs.crashes.fresh(func(crs quarantine.Crash, age time.Duration) {
+		crs.Age = age
+		wrd.Crashes = append(wrd.Crashes, crs)
+	})
+	prs.leaving.fresh(func(lfe roster.Life, _ time.Duration) { wrd.Leaving = append(wrd.Leaving, lfe) })
 	if ver, renewed, held := prs.les.Renewal(); held {
 		wrd.Lease = ver
 		wrd.Renewed = prs.clk.Since(renewed)
@@ -205,36 +211,18 @@
 	return feeds
 }
 
-// tellFor is the time for which a crash is told: a peer may miss some words while its connection is made anew.
-const tellFor = 2 * time.Second
-
-// maxCrashes bounds the crashes in one word: as many as a daemon has requests in progress at a group or two.
-const maxCrashes = 64
-
-// tell makes a crash known to the other daemons with the next word.
-func (prs *peers) tell(crs quarantine.Crash) {
-	prs.log.Info("a request broke a connection", zap.String("fingerprint", string(crs.Fingerprint)), zap.String("event", crs.Event))
-	prs.mu.Lock()
-	defer prs.mu.Unlock()
-	if len(prs.crashes) < maxCrashes {
-		prs.crashes = append(prs.crashes, toldCrash{
-			crash: crs,
-			at:    prs.clk.Now(),
-		})
-	}
+// tellCrash makes a crash known to the other daemons with the next word.
+func (prs *peers) tellCrash(crs quarantine.Crash) {
+	told := prs.crashes.add(crs, 0)
+	prs.log.Info("a request broke a connection", zap.String("fingerprint", string(crs.Fingerprint)),
+		zap.String("event", crs.Event), zap.Bool("told", told))
 }
 
-// freshCrashes returns the crashes to tell, and forgets those that have been told for long enough.
-func (prs *peers) freshCrashes() []quarantine.Crash {
-	prs.mu.Lock()
-	defer prs.mu.Unlock()
-	prs.crashes = slices.DeleteFunc(prs.crashes, func(tld toldCrash) bool { return prs.clk.Since(tld.at) > tellFor })
-	crss := make([]quarantine.Crash, 0, len(prs.crashes))
-	for _, tld := range prs.crashes {
-		tld.crash.Age = prs.clk.Since(tld.at)
-		crss = append(crss, tld.crash)
+// tellLeaving makes a backend server that said that it stops known to the other daemons with the next word.
+func (prs *peers) tellLeaving(lfe roster.Life) {
+	if prs.src.leaves(lfe, lfe.ID) && !prs.leaving.add(lfe, 0) {
+		prs.log.Warn("too many backend servers leave to tell the other daemons of all", zap.String("server", lfe.ID))
 	}
-	return crss
 }
 
 // learnKey reads the key from the store, where the first daemon puts one.
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -148,9 +147,10 @@
 		},
 		ReportCrash: func(crs quarantine.Crash, now time.Time) {
 			if qua.Record(crs, now) {
-				prs.tell(crs)
+				prs.tellCrash(crs)
 			}
 		},
+		ReportLeaving: func(srv *roster.Server) { prs.tellLeaving(srv.Life()) },
 	}
 	return relay.New(platform.Format(), sea, brd, met, clk, log)
 }
@@ -168,6 +168,7 @@
 	src *sources,
 	pol *upstream.Pool,
 	rly *relay.Relay,
+	prs *peers,
 	viw *loadview.View,
 	les *lease.Lease,
 	inv *inventory.Inventory,
@@ -185,7 +186,11 @@
 		Settled:  src.settled,
 		Quiet:    func() bool { return set.Site.FirstStart && !rly.Used() },
 		Order: func(ctx context.Context, ord formation.Order, fence uint64) error {
-			return giveOrder(ctx, pol, ord, fence)
+			ver, err := giveOrder(ctx, pol, ord, fence)
+			if srv, ok := src.roster.View().Server(ord.Server); ok && ver.Leaving {
+				prs.tellLeaving(srv.Life())
+			}
+			return err
 		},
 	}
 	return steward.New(cfg, sea, les, inv, bok, clk, log)
@@ -209,21 +214,20 @@
 	return num
 }
 
-// giveOrder sends an order to an engine and returns why it was not accepted.
-func giveOrder(ctx context.Context, pol *upstream.Pool, ord formation.Order, fence uint64) error {
+// giveOrder sends an order to an engine; it returns what the engine says of itself and why the order was not accepted.
+func giveOrder(ctx context.Context, pol *upstream.Pool, ord formation.Order, fence uint64) (relay.Verdict, error) {
 	call, err := platform.EncodeOrder(ord, fence)
 	if err != nil {
-		return errors.Trace(err)
+		return relay.Verdict{}, errors.Trace(err)
 	}
 	con, err := pol.Get(ctx, ord.Address)
 	if err != nil {
-		return errors.Trace(err)
+		return relay.Verdict{}, errors.Trace(err)
 	}
 	ans, err := con.Do(ctx, call)
 	if err != nil {
-		return errors.Trace(err)
+		return relay.Verdict{}, errors.Trace(err)
 	}
-	_, err = io.Copy(io.Discard, ans.Body)
-	ans.Finish(err == nil)
-	return errors.Trace(platform.OrderError(ans.StatusCode))
+	ans.Finish(ans.Skip() == nil)
+	return platform.Format().ReadAnswer(ans.Response), errors.Trace(platform.OrderError(ans.StatusCode))
 }
--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -223,6 +223,15 @@
 	src.logServers(before, chgs)
 }
 
+// leaves notes that a process of a backend server is about to stop, as by said; it reports whether that is new.
+func (src *sources) leaves(lfe roster.Life, by string) bool {
+	fresh := src.roster.Leave(lfe, src.clk.Now())
+	if fresh {
+		src.log.Info("a backend server says that it leaves", zap.String("server", lfe.ID), zap.Int64("born", lfe.Born), zap.String("by", by))
+	}
+	return fresh
+}
+
 // logServers writes a line for each backend server that came, left, or changed its group.
 func (src *sources) logServers(before *roster.View, chgs []roster.Change) {
 	for idx := range chgs {
@@ -395,5 +404,5 @@
 	src.brd.Keep(func(id string) bool {
 		_, ok := viw.Server(id)
 		return ok
-	})
+	}, src.clk.Now())
 }
--- /dev/null
+++ b/internal/upstream/endless_test.go
@@ -0,0 +1,153 @@
+package upstream_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cumintally/cumintally/internal/upstream"
+)
+
+// pour writes text to a connection until the peer closes it.
+func pour(con net.Conn, text string) {
+	chunk := bytes.Repeat([]byte(text), 1+(32<<10)/len(text))
+	for {
+		if _, err := con.Write(chunk); err != nil {
+			return
+		}
+	}
+}
+
+// endless are the ways in which a backend server sends bytes that are no answer without end. Those that end only the
+// head are told by Do, the others when the body is skipped.
+var endless = map[string]func(con net.Conn, id string){
+	"status line": func(con net.Conn, _ string) { pour(con, "H") },
+	"one header": func(con net.Conn, _ string) {
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nX: ")
+		pour(con, "x")
+	},
+	"many headers": func(con net.Conn, _ string) {
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\n")
+		pour(con, "Name: value\r\n")
+	},
+	"interim answers": func(con net.Conn, _ string) { pour(con, "HTTP/1.1 102 Processing\r\n\r\n") },
+	"body of another request": func(con net.Conn, _ string) {
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nId: another\r\nTransfer-Encoding: chunked\r\n\r\n")
+		pour(con, "4\r\nbody\r\n")
+	},
+	"answers of another request": func(con net.Conn, _ string) {
+		pour(con, "HTTP/1.1 200 OK\r\nId: another\r\nContent-Length: 1\r\n\r\nx")
+	},
+	"chunk extension": func(con net.Conn, id string) {
+		_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n4;", id)
+		pour(con, "x")
+	},
+	"trailer": func(con net.Conn, id string) {
+		_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", id)
+		pour(con, "Name: value\r\n")
+	},
+	"chunks": func(con net.Conn, id string) {
+		_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+		pour(con, "4\r\nbody\r\n")
+	},
+	"body without length": func(con net.Conn, id string) {
+		_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n", id)
+		pour(con, "body")
+	},
+}
+
+// Guards against bytes that are no answer and never end: the connection is closed long before the caller's deadline.
+func TestEndlessBytesEndTheConnection(tst *testing.T) {
+	for name, send := range endless {
+		tst.Run(name, func(tst *testing.T) {
+			ended := make(chan struct{})
+			srv := newServer(tst, func(con net.Conn, req *http.Request, _ int) bool {
+				defer close(ended)
+				send(con, req.Header.Get("Id"))
+				return false
+			})
+			pol := newPool()
+			defer closePool(pol)
+			ctx, cancel := context.WithTimeout(tst.Context(), 10*time.Second)
+			defer cancel()
+			qt.Assert(tst, skip(ctx, pol, srv.lst.Addr().String()), qt.IsNotNil)
+			select {
+			case <-ended:
+			case <-time.After(5 * time.Second):
+				tst.Fatal("the backend server still sends")
+			}
+		})
+	}
+}
+
+// skip makes a call and skips its answer.
+func skip(ctx context.Context, pol *upstream.Pool, adr string) error {
+	con, err := pol.Get(ctx, adr)
+	if err != nil {
+		return err
+	}
+	ans, err := con.Do(ctx, call("1"))
+	if err != nil {
+		return err
+	}
+	err = ans.Skip()
+	ans.Finish(err == nil)
+	return err
+}
+
+// Guards against the daemon's memory when many backend servers send heads without end at once: 200 of them must fit
+// into a part of the 184 MB of the smallest VM.
+func TestManyEndlessHeadsFitIntoMemory(tst *testing.T) {
+	const (
+		servers = 200
+		most    = 64 << 20
+	)
+	srv := newServer(tst, func(con net.Conn, _ *http.Request, _ int) bool {
+		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nX: ")
+		pour(con, "x")
+		return false
+	})
+	pol := newPool()
+	defer closePool(pol)
+	var before, during runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var wgr sync.WaitGroup
+	peak := uint64(0)
+	for range servers {
+		wgr.Go(func() {
+			ctx, cancel := context.WithTimeout(tst.Context(), 10*time.Second)
+			defer cancel()
+			if err := skip(ctx, pol, srv.lst.Addr().String()); err == nil {
+				tst.Error("a head without end was taken for an answer")
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		wgr.Wait()
+		close(done)
+	}()
+	for {
+		select {
+		case <-done:
+			tst.Logf("at most %d MB more than before", peak>>20)
+			qt.Assert(tst, peak < most, qt.IsTrue, qt.Commentf("%d MB", peak>>20))
+			return
+		case <-time.After(5 * time.Millisecond):
+			runtime.ReadMemStats(&during)
+			if during.HeapAlloc > before.HeapAlloc {
+				peak = max(peak, during.HeapAlloc-before.HeapAlloc)
+			}
+		}
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -56,6 +55,7 @@
 	req := &http.Request{
 		Method: call.Method,
 	}
+	con.lmt.set()
 	for range maxStray {
 		res, err := http.ReadResponse(con.rdr, req)
 		if err != nil {
@@ -65,6 +65,7 @@
 			continue
 		}
 		if call.Owns == nil || call.Owns(res) {
+			con.lmt.limited = false
 			con.keepAlive(res.Header)
 			return &Answer{
 				Response: res,
@@ -77,9 +78,11 @@
 		if closeDelimited(res) {
 			return fail(errors.New("the answer belongs to another request"))
 		}
-		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		con.lmt.limited = false
+		if err := skip(res.Body); err != nil {
 			return fail(err)
 		}
+		con.lmt.set()
 	}
 	return fail(errors.New("too many answers to other requests"))
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -50,6 +50,7 @@
 	net.Conn
 	pool    *Pool
 	adr     string
+	lmt     *headLimit
 	rdr     *bufio.Reader
 	keepFor time.Duration
 	since   time.Time
@@ -84,11 +85,15 @@
 		return nil, errors.WithType(errors.Annotatef(err, "connect to %s", adr), ErrNotSent)
 	}
 	pol.made.Inc(1)
+	lmt := &headLimit{
+		Reader: raw,
+	}
 	return &Conn{
 		Conn:    raw,
 		pool:    pol,
 		adr:     adr,
-		rdr:     bufio.NewReaderSize(raw, readBuffer),
+		lmt:     lmt,
+		rdr:     bufio.NewReaderSize(lmt, readBuffer),
 		keepFor: idleFor,
 	}, nil
 }
