--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -231,7 +231,7 @@
 // load gives an order that makes a VM load weights, as far as the weight store's rate permits.
 func (stp *step) load(ord Order) {
 	if stp.mayStart() && stp.give(ord) {
-		stp.frm.starts--
+		stp.start()
 	}
 }
 
@@ -346,7 +346,7 @@
 		Members: []string{srv.ID},
 	}) {
 		stp.frm.loads--
-		stp.frm.starts--
+		stp.start()
 		stp.loading++
 	}
 }
@@ -361,6 +361,13 @@
 	return stp.viw.StartRate == 0 || stp.frm.starts >= 1
 }
 
+// start counts a load against the weight store's rate while there is one.
+func (stp *step) start() {
+	if stp.viw.StartRate > 0 {
+		stp.frm.starts--
+	}
+}
+
 // loading returns the number of loads in progress: of VMs that join without weights at hand, and onto hosts.
 func (frm *Formation) loading(viw View, now time.Time) int {
 	num := 0
@@ -394,7 +401,7 @@
 	}) {
 		stp.frm.staged[srv.ID] = stp.now
 		stp.frm.loads--
-		stp.frm.starts--
+		stp.start()
 		stp.loading++
 	}
 }
--- a/internal/steward/observer.go
+++ b/internal/steward/observer.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -22,6 +23,12 @@
 	// stableFor is the time for which no VM must have registered before the first groups are planned: a site that
 	// starts registers its VMs within a second or two, and a plan of half of them would be changed again.
 	stableFor = 700 * time.Millisecond
+	// returnFor is the time for which none of the VMs of a fabric domain that comes back must have registered before the
+	// domain is planned, and mostReturn bounds the wait: heartbeats spread the entries over about a second.
+	returnFor  = 450 * time.Millisecond
+	mostReturn = 1500 * time.Millisecond
+	// returning is the number of VMs that register within returnFor beyond which a domain is taken to come back.
+	returning = 1
 )
 
 // observer notes what engines reported before.
@@ -29,12 +36,18 @@
 	// seen holds the VMs that registered, and grown is when one did for the first time.
 	seen  map[string]seenVM
 	grown time.Time
+	// turns numbers the observations of each service.
+	turns map[string]uint64
+	// arrivals holds, by fabric domain, when VMs registered that were not registered before, oldest first.
+	arrivals map[string][]time.Time
 }
 
 // seenVM is what is remembered of a VM's process: the model that it served last.
 type seenVM struct {
 	born   int64
 	memory string
+	// turn is the last observation in which the VM was registered.
+	turn uint64
 }
 
 func (obs *observer) note(srv *roster.Server, now time.Time) {
@@ -42,8 +55,12 @@
 	if !ok {
 		obs.grown = now
 	}
+	if !ok || old.born != srv.Born || old.turn+1 < obs.turns[srv.Service] {
+		obs.arrivals[srv.Domain] = append(obs.arrivals[srv.Domain], now)
+	}
 	next := seenVM{
 		born: srv.Born,
+		turn: obs.turns[srv.Service],
 	}
 	if ok && old.born == srv.Born {
 		next.memory = old.memory
@@ -54,6 +71,33 @@
 	obs.seen[srv.ID] = next
 }
 
+// returns reports whether several VMs of a fabric domain are just coming back: a group that is planned from half of them
+// would take VMs that must load its weights while others hold them.
+func (obs *observer) returns(domain string, now time.Time) bool {
+	recent, first := 0, now
+	for _, at := range obs.arrivals[domain] {
+		if now.Sub(at) < mostReturn && at.Before(first) {
+			first = at
+		}
+		if now.Sub(at) < returnFor {
+			recent++
+		}
+	}
+	return recent > returning && now.Sub(first) < mostReturn-returnFor
+}
+
+// forgetArrivals drops the arrivals that decide nothing any more.
+func (obs *observer) forgetArrivals(now time.Time) {
+	for domain, ats := range obs.arrivals {
+		ats = slices.DeleteFunc(ats, func(at time.Time) bool { return now.Sub(at) >= mostReturn })
+		if len(ats) == 0 {
+			delete(obs.arrivals, domain)
+		} else {
+			obs.arrivals[domain] = ats
+		}
+	}
+}
+
 // situation is what one turn plans from.
 type situation struct {
 	svc     *route.Service
@@ -75,7 +119,9 @@
 
 func newObserver() *observer {
 	return &observer{
-		seen: map[string]seenVM{},
+		seen:     map[string]seenVM{},
+		turns:    map[string]uint64{},
+		arrivals: map[string][]time.Time{},
 	}
 }
 
@@ -96,6 +142,8 @@
 		groups:  map[string][]document.Group{},
 		mayLose: settled(returnTime),
 	}
+	obs.turns[svc.Name]++
+	obs.forgetArrivals(now)
 	for _, srv := range rst.Service(svc.Name) {
 		if srv.Domain != "" {
 			obs.note(srv, now)
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -197,6 +197,9 @@
 // plan writes the allocations that should change.
 func (stw *Steward) plan(ctx context.Context, sit *situation) {
 	for idx := range sit.domains {
+		if sit.obs.returns(sit.domains[idx].Name, sit.now) {
+			continue
+		}
 		for _, chg := range group.Plan(sit.view(&sit.domains[idx])) {
 			if err := stw.bok.Write(ctx, chg.Allocation); err != nil {
 				stw.log.Warn("cannot write an allocation", zap.String("domain", chg.Allocation.FabricDomain), logging.Error(err))
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -325,3 +325,53 @@
 	bch.turns(stw, 3*time.Second)
 	qt.Assert(tst, bch.ordered(), qt.Equals, before)
 }
+
+// Replays a fabric domain that was dark and comes back within some hundred milliseconds: its large group is made of the
+// VMs whose hosts hold the weights, not of those that happened to register first.
+func TestReturningDomainIsPlannedWhole(tst *testing.T) {
+	bch := newBench(tst)
+	stw := bch.steward("entry-1")
+	// The rest of the zone stays in sight.
+	bch.add("vm-a-other", "a")
+	bch.mu.Lock()
+	other := bch.servers["vm-a-other"]
+	other.Domain = "fabric-other"
+	bch.set(other)
+	bch.mu.Unlock()
+	bch.turns(stw, 20*time.Second)
+	for num := range 8 {
+		bch.lose(fmt.Sprintf("vm-a-%d", num))
+	}
+	bch.turns(stw, 3*time.Second)
+	bch.mu.Lock()
+	before := len(bch.orders)
+	bch.mu.Unlock()
+	held := map[string]string{}
+	for num := range 8 {
+		id := fmt.Sprintf("vm-a-%d", num)
+		held[id] = "small"
+		if num%4 >= 2 {
+			held[id] = "large"
+		}
+		bch.add(id, "a")
+		bch.mu.Lock()
+		srv := bch.servers[id]
+		srv.Born = 2
+		srv.Staged = []string{held[id]}
+		bch.set(srv)
+		bch.mu.Unlock()
+		if num%4 == 3 {
+			bch.turns(stw, 150*time.Millisecond)
+		}
+	}
+	bch.turns(stw, 2*time.Second)
+	bch.mu.Lock()
+	defer bch.mu.Unlock()
+	joined := map[string]string{}
+	for _, ord := range bch.orders[before:] {
+		if ord.Verb == formation.Join && held[ord.Server] != "" {
+			joined[ord.Server] = ord.Model
+		}
+	}
+	qt.Assert(tst, joined, qt.DeepEquals, held)
+}
