Pass changes of the store on over the hubs, and start from lists that may be old

The holder of the lease, which watches in any case, tells the hubs; the first hub of each zone with a current copy feeds its zone. Words carry the revisions of their sender's copies, so that lost frames are made good without a call. A copy is trusted for the same time as before; daemons closer to the store ask it earlier, so that one of them takes over a lost watch for all. The key is put by the first daemon by name.

TestWhoFeeds is replaced: the holder of the lease no longer has the sole right to feed its zone, hubs have; the new table has a case for each former one that can still come about, and five more. It is as strict: exactly one hub of those that speak and are current feeds.

--- a/internal/feeding/doc.go
+++ b/internal/feeding/doc.go
@@ -1,10 +1,9 @@
-// Package feeding decides which daemon of an availability zone passes changes of the store on to the others, and
-// which changes each of them still lacks.
+// Package feeding decides which daemons pass changes of the store on to others, and which changes each of those still
+// lacks.
 //
-// The daemon that holds the site's lease feeds its zone, since it has to watch the store in any case; elsewhere it
-// is the one with the lowest name among those whose copies the store itself confirms. A daemon that is fed does not
-// watch the store, so it is no candidate, and the role stays where it is until its holder is lost or cut off from
-// the store. One for each zone, so that zones that are cut off from each other go on, and no daemon sends to more
-// than its zone. Two daemons that feed at once only cost bytes, and none costs calls to the store: each daemon that
-// is not fed watches by itself.
+// The holder of the site's lease watches the store in any case. It tells the hubs, and the first hub of each zone whose
+// copy is current feeds the daemons of its zone. Each word carries the revisions of its sender's copies, so that a lost
+// frame is made good by the next one. The age of a copy is bounded by the receiver's own clock, over any number of daemons
+// between it and the store. Two daemons that feed at once only cost bytes, and none costs calls to the store: a daemon
+// that is not fed for long enough asks the store itself.
 package feeding
--- a/internal/feeding/feeding.go
+++ b/internal/feeding/feeding.go
@@ -10,9 +10,12 @@
 	"github.com/cumintally/cumintally/internal/follow"
 )
 
-// confirmedFor is the time for which a daemon counts as a candidate since the store confirmed its copy: a watch and
-// two announcements of the largest site.
-const confirmedFor = 2500 * time.Millisecond
+const (
+	// spokeFor is the time since its last word for which a hub is taken to feed its zone: some intervals of words.
+	spokeFor = 700 * time.Millisecond
+	// resendAfter is the time after which changes that a daemon does not confirm are sent once more.
+	resendAfter = 700 * time.Millisecond
+)
 
 // Stamp is a moment by the clock of one daemon's process.
 type Stamp struct {
@@ -23,14 +26,14 @@
 	Elapsed time.Duration
 }
 
-// Word is what a daemon says of itself to the others of its zone.
+// Word is what a daemon says of its copies to the others.
 type Word struct {
 	_ struct{} `cbor:",toarray"`
 
-	// Confirmed is the time since the store itself confirmed the daemon's copy of the registry.
-	Confirmed time.Duration
-	// Leads says that the daemon holds the site's lease.
-	Leads bool
+	// Current says that its copy of the registry is current, so that it can feed others.
+	Current bool
+	// Revisions are those of its copies, in the order of the kinds that daemons feed each other with.
+	Revisions []uint64
 	// Now is when the daemon said so.
 	Now Stamp
 }
@@ -56,8 +59,8 @@
 	mu sync.Mutex
 	// words holds what the other daemons of the zone said of themselves.
 	words map[string]heard
-	// sent holds, by daemon and kind, the revision up to which changes were sent.
-	sent map[string]map[string]uint64
+	// sent holds what was sent to each daemon last, by kind.
+	sent map[string]map[string]sentBatch
 }
 
 // heard is a word and when it came.
@@ -66,6 +69,12 @@
 	at   time.Time
 }
 
+// sentBatch is the revision up to which changes were sent, and when.
+type sentBatch struct {
+	revision uint64
+	at       time.Time
+}
+
 // New returns the part of the daemon named self, whose process is named by instance.
 func New(self string, instance uint64, clk clockwork.Clock) *Feeding {
 	return &Feeding{
@@ -74,51 +83,50 @@
 		started:  clk.Now(),
 		clk:      clk,
 		words:    map[string]heard{},
-		sent:     map[string]map[string]uint64{},
+		sent:     map[string]map[string]sentBatch{},
 	}
 }
 
-// Say returns the daemon's word, given when the store itself confirmed its copy of the registry.
-func (fdg *Feeding) Say(confirmed time.Time, leads bool) Word {
-	return Word{
-		Confirmed: fdg.clk.Since(confirmed),
-		Leads:     leads,
+// Say returns the daemon's word on its copies.
+func (fdg *Feeding) Say(current bool, fols []*follow.Follower) Word {
+	wrd := Word{
+		Current: current,
 		Now: Stamp{
 			Instance: fdg.instance,
 			Elapsed:  fdg.clk.Since(fdg.started),
 		},
 	}
+	for _, fol := range fols {
+		wrd.Revisions = append(wrd.Revisions, fol.Revision())
+	}
+	return wrd
 }
 
-// Hear notes the word of another daemon of the zone.
+// Hear notes the word of another daemon.
 func (fdg *Feeding) Hear(daemon string, wrd Word) {
 	fdg.mu.Lock()
 	defer fdg.mu.Unlock()
+	if fdg.words[daemon].word.Now.Instance != wrd.Now.Instance {
+		delete(fdg.sent, daemon)
+	}
 	fdg.words[daemon] = heard{
 		word: wrd,
 		at:   fdg.clk.Now(),
 	}
 }
 
-// Feeds reports whether this daemon, whose word is own, feeds the others of its zone; hubs are the daemons that may.
+// Feeds reports whether this daemon, whose word is own, feeds the others of its zone: it is the first of the zone's hubs
+// whose copy is current.
 func (fdg *Feeding) Feeds(own Word, hubs []string) bool {
-	if own.Confirmed >= confirmedFor {
+	if !own.Current || !slices.Contains(hubs, fdg.self) {
 		return false
 	}
 	fdg.mu.Lock()
 	defer fdg.mu.Unlock()
 	now := fdg.clk.Now()
-	for daemon, hrd := range fdg.words {
-		if !slices.Contains(hubs, daemon) || now.Sub(hrd.at)+hrd.word.Confirmed >= confirmedFor {
-			continue
-		}
-		if hrd.word.Leads != own.Leads {
-			if hrd.word.Leads {
-				return false
-			}
-			continue
-		}
-		if daemon < fdg.self {
+	for _, name := range hubs {
+		hrd, ok := fdg.words[name]
+		if ok && name < fdg.self && hrd.word.Current && now.Sub(hrd.at) < spokeFor {
 			return false
 		}
 	}
@@ -133,14 +141,20 @@
 	if !ok {
 		return Feed{}
 	}
+	now := fdg.clk.Now()
 	fed := Feed{
 		Echo: hrd.word.Now,
-		Held: fdg.clk.Since(hrd.at),
+		Held: now.Sub(hrd.at),
 	}
-	for _, fol := range fols {
-		since, ok := fdg.sent[daemon][fol.Kind()]
-		if !ok {
-			since = fol.Revision()
+	for idx, fol := range fols {
+		if idx >= len(hrd.word.Revisions) || hrd.word.Revisions[idx] == 0 {
+			// The daemon has not listed the kind yet.
+			continue
+		}
+		since := hrd.word.Revisions[idx]
+		if snt := fdg.sent[daemon][fol.Kind()]; snt.revision > since && now.Sub(snt.at) < resendAfter {
+			// These changes are on their way.
+			since = snt.revision
 		}
 		if bat, ok := fol.Changes(since); ok {
 			fed.Batches = append(fed.Batches, bat)
@@ -154,10 +168,16 @@
 	fdg.mu.Lock()
 	defer fdg.mu.Unlock()
 	if fdg.sent[daemon] == nil {
-		fdg.sent[daemon] = map[string]uint64{}
+		fdg.sent[daemon] = map[string]sentBatch{}
 	}
 	for idx := range fed.Batches {
-		fdg.sent[daemon][fed.Batches[idx].Kind] = fed.Batches[idx].Revision
+		bat := &fed.Batches[idx]
+		if len(bat.Packed) > 0 || fdg.sent[daemon][bat.Kind].revision < bat.Revision {
+			fdg.sent[daemon][bat.Kind] = sentBatch{
+				revision: bat.Revision,
+				at:       fdg.clk.Now(),
+			}
+		}
 	}
 }
 
--- a/internal/feeding/feeding_test.go
+++ b/internal/feeding/feeding_test.go
@@ -11,71 +11,74 @@
 	"github.com/cumintally/cumintally/internal/feeding"
 )
 
-// TestWhoFeeds guards against a zone that no daemon feeds, or all of them, while some daemon has the store's word.
+// TestWhoFeeds guards against a zone that no daemon feeds, or all of them, while some hub has a current copy.
 func TestWhoFeeds(tst *testing.T) {
-	const fresh, stale = time.Second, 4 * time.Second
 	type word struct {
-		name      string
-		confirmed time.Duration
-		leads     bool
+		name    string
+		current bool
+		age     time.Duration
 	}
 	cases := []struct {
-		name      string
-		words     []word
-		confirmed time.Duration
-		leads     bool
-		want      bool
+		name    string
+		words   []word
+		current bool
+		hubs    []string
+		want    bool
 	}{
 		{
-			name:      "alone",
-			confirmed: fresh,
-			want:      true,
+			name:    "alone",
+			current: true,
+			hubs:    []string{"m"},
+			want:    true,
 		},
 		{
-			name:      "own copy is old",
-			confirmed: stale,
-			leads:     true,
+			name: "own copy is old",
+			hubs: []string{"m"},
 		},
 		{
-			name:      "a lower name has the store's word",
-			words:     []word{{"a", fresh, false}},
-			confirmed: fresh,
+			name:    "no hub",
+			current: true,
+			hubs:    []string{"a", "b"},
 		},
 		{
-			name:      "a lower name is cut off from the store",
-			words:     []word{{"a", stale, false}},
-			confirmed: fresh,
-			want:      true,
+			name:    "the first hub's copy is current",
+			words:   []word{{"a", true, 0}},
+			current: true,
+			hubs:    []string{"a", "m"},
 		},
 		{
-			name:      "a higher name has the store's word",
-			words:     []word{{"z", fresh, false}},
-			confirmed: fresh,
-			want:      true,
+			name:    "the first hub's copy is old",
+			words:   []word{{"a", false, 0}},
+			current: true,
+			hubs:    []string{"a", "m"},
+			want:    true,
 		},
 		{
-			name:      "another one leads",
-			words:     []word{{"z", fresh, true}},
-			confirmed: fresh,
+			name:    "the first hub has fallen silent",
+			words:   []word{{"a", true, time.Second}},
+			current: true,
+			hubs:    []string{"a", "m"},
+			want:    true,
 		},
 		{
-			name:      "the leader's copy is old",
-			words:     []word{{"z", stale, true}},
-			confirmed: fresh,
-			want:      true,
+			name:    "the first hub has never spoken",
+			current: true,
+			hubs:    []string{"a", "m"},
+			want:    true,
 		},
 		{
-			name:      "leads, and a lower name has the store's word",
-			words:     []word{{"a", fresh, false}},
-			confirmed: fresh,
-			leads:     true,
-			want:      true,
+			name:    "the second hub's copy is current",
+			words:   []word{{"z", true, 0}},
+			current: true,
+			hubs:    []string{"m", "z"},
+			want:    true,
 		},
 		{
-			name:      "the word of the holder before is still young",
-			words:     []word{{"a", fresh, true}},
-			confirmed: fresh,
-			leads:     true,
+			name:    "a daemon that is no hub has a lower name",
+			words:   []word{{"a", true, 0}},
+			current: true,
+			hubs:    []string{"m", "z"},
+			want:    true,
 		},
 	}
 	for _, cse := range cases {
@@ -84,12 +87,11 @@
 			fdg := feeding.New("m", 1, clk)
 			for _, wrd := range cse.words {
 				fdg.Hear(wrd.name, feeding.Word{
-					Confirmed: wrd.confirmed,
-					Leads:     wrd.leads,
+					Current: wrd.current,
 				})
+				clk.Advance(wrd.age)
 			}
-			own := fdg.Say(clk.Now().Add(-cse.confirmed), cse.leads)
-			qt.Check(tst, fdg.Feeds(own, []string{"a", "m", "z"}), qt.Equals, cse.want)
+			qt.Check(tst, fdg.Feeds(fdg.Say(cse.current, nil), cse.hubs), qt.Equals, cse.want)
 		})
 	}
 }
@@ -104,7 +106,7 @@
 	qt.Check(tst, feeder.For("b", nil), qt.DeepEquals, feeding.Feed{}, qt.Commentf("nobody is fed before it was heard"))
 
 	clk.Advance(time.Second)
-	feeder.Hear("b", fed.Say(clk.Now(), false))
+	feeder.Hear("b", fed.Say(true, nil))
 	clk.Advance(time.Second)
 	frm := feeder.For("b", nil)
 	at := clk.Now()
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -21,6 +21,11 @@
 	// ownInterval is the time in which a daemon that is fed notices that it has to watch the store itself: a part of
 	// the time in which a new holder of the lease acts.
 	ownInterval = 100 * time.Millisecond
+	// firstFeed is the time after a stale list in which another daemon brings it up to date.
+	firstFeed = time.Second
+	// confirmShare is the part of Trust for which the store holds the watch of a daemon that feeds others: what remains
+	// covers the way over two hubs and a daemon that takes over.
+	confirmShare = 0.35
 	// answerTime is the part of a watch's deadline in which the store answers; it holds the call for the rest.
 	answerTime = 500 * time.Millisecond
 )
@@ -30,12 +35,14 @@
 	Kind string
 	// Gather returns the pause after changes came, so that a burst of changes costs few calls.
 	Gather func() time.Duration
-	// Trust is the time for which a copy that another daemon feeds counts as current since the store confirmed it;
-	// 0 for a copy that is not fed.
+	// Trust is the time for which a copy that another daemon feeds counts as current since the store confirmed it.
 	Trust time.Duration
-	// Fed reports whether the daemons feed each other, and Own whether this one watches the store nevertheless.
+	// Fed reports whether the daemons feed each other.
 	Fed func() bool
-	Own func() bool
+	// Patience returns the age at which this daemon asks the store although it is fed; 0 makes it watch all the time.
+	Patience func() time.Duration
+	// Stale reports whether the first list may be seconds old; the feed or a watch brings what it lacks.
+	Stale func() bool
 }
 
 // Follower follows one kind.
@@ -55,8 +62,10 @@
 	// heard is when the store last confirmed the copy, through whichever daemon, and direct when it did so to this one.
 	heard  time.Time
 	direct time.Time
-	// fedUntil is the time until which the feed counts.
-	fedUntil time.Time
+	// fed is when the store last confirmed the copy through another daemon.
+	fed time.Time
+	// listedAt is when the copy was last listed.
+	listedAt time.Time
 	// lost is when the store first failed since it last answered, back when it answered after that.
 	lost time.Time
 	back time.Time
@@ -101,11 +110,7 @@
 // ask lists the kind or, from a position that is current, watches it.
 func (fol *Follower) ask(ctx context.Context, current bool) error {
 	if !current {
-		objs, rev, err := fol.pst.List(ctx, fol.cfg.Kind)
-		if err == nil {
-			fol.listed(objs, rev)
-		}
-		return errors.Trace(err)
+		return fol.list(ctx)
 	}
 	since := fol.Revision()
 	objs, next, err := fol.watch(ctx, since)
@@ -119,31 +124,53 @@
 	return nil
 }
 
+func (fol *Follower) list(ctx context.Context) error {
+	stale := fol.Revision() == 0 && fol.cfg.Stale()
+	list := fol.pst.List
+	if stale {
+		list = fol.pst.ListStale
+	}
+	objs, rev, err := list(ctx, fol.cfg.Kind)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	fol.listed(objs, rev, stale)
+	return nil
+}
+
 func (fol *Follower) watch(ctx context.Context, since uint64) ([]objects.Object, uint64, error) {
-	if fol.feeds() {
-		// A daemon that feeds others needs a confirmation younger than Trust, also while nothing changes.
-		short, cancel := context.WithTimeout(ctx, fol.cfg.Trust/2+answerTime)
+	if fol.cfg.Fed() {
+		// A daemon that feeds others needs confirmations well younger than Trust, also while nothing changes.
+		short, cancel := context.WithTimeout(ctx, time.Duration(float64(fol.cfg.Trust)*confirmShare)+answerTime)
 		defer cancel()
 		ctx = short
 	}
 	return fol.pst.Watch(ctx, fol.cfg.Kind, since)
 }
 
-func (fol *Follower) feeds() bool {
-	return fol.cfg.Trust > 0 && fol.cfg.Fed()
-}
-
 // awaitFeed waits while another daemon keeps the copy current; it reports false at once if none does.
 func (fol *Follower) awaitFeed(ctx context.Context) bool {
+	if !fol.cfg.Fed() {
+		return false
+	}
+	patience := fol.cfg.Patience()
+	if patience <= 0 {
+		return false
+	}
 	fol.mu.Lock()
-	left := fol.fedUntil.Sub(fol.clk.Now())
+	left := patience - fol.clk.Since(fol.fed)
+	if fol.heard.IsZero() {
+		left = firstFeed - fol.clk.Since(fol.listedAt)
+	}
+	known := fol.revision > 0
 	fol.mu.Unlock()
-	if left <= 0 || !fol.feeds() || fol.cfg.Own() {
+	if left <= 0 || !known {
 		return false
 	}
 	select {
 	case <-ctx.Done():
 	case <-fol.gap:
+		return false
 	case <-fol.clk.After(min(left, ownInterval)):
 	}
 	return true
@@ -152,7 +179,7 @@
 // Feed takes changes that another daemon sent at the time sent or later; a batch that begins after the own position is
 // left to the store.
 func (fol *Follower) Feed(bat Batch, sent time.Time) {
-	if !fol.feeds() {
+	if !fol.cfg.Fed() {
 		return
 	}
 	fol.mu.Lock()
@@ -163,11 +190,8 @@
 		return
 	}
 	if bat.Since > fol.revision {
-		if fol.fedUntil.After(now) {
-			fol.log.Info("missed changes that another daemon passed on, asks the store",
-				zap.String("kind", bat.Kind), zap.Uint64("revision", fol.revision), zap.Uint64("since", bat.Since))
-		}
-		fol.fedUntil = time.Time{}
+		fol.log.Info("missed changes that another daemon passed on, asks the store",
+			zap.String("kind", bat.Kind), zap.Uint64("revision", fol.revision), zap.Uint64("since", bat.Since))
 		select {
 		case fol.gap <- struct{}{}:
 		default:
@@ -182,19 +206,18 @@
 	fol.advance(bat.Since, bat.Revision, objs)
 	if bat.Revision >= fol.revision {
 		fol.confirmed(heard)
-		if until := heard.Add(fol.cfg.Trust); until.After(fol.fedUntil) {
-			fol.fedUntil = until
+		if heard.After(fol.fed) {
+			fol.fed = heard
 		}
 	}
 }
 
-// Changes returns what another daemon lacks that is at revision rev, and false while this copy is not current by
-// the store's own word.
+// Changes returns what another daemon lacks that is at revision rev, and false while this copy is not current.
 func (fol *Follower) Changes(rev uint64) (Batch, bool) {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
-	age := fol.clk.Since(fol.direct)
-	if fol.direct.IsZero() || age >= fol.cfg.Trust {
+	age := fol.clk.Since(fol.heard)
+	if fol.heard.IsZero() || age >= fol.cfg.Trust {
 		return Batch{}, false
 	}
 	bat := Batch{
@@ -212,8 +235,8 @@
 	return bat, true
 }
 
-// listed replaces the copy.
-func (fol *Follower) listed(objs []objects.Object, rev uint64) {
+// listed replaces the copy; a stale one is not confirmed by the store.
+func (fol *Follower) listed(objs []objects.Object, rev uint64, stale bool) {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
 	fol.take(objs, true)
@@ -223,7 +246,10 @@
 		since:    rev,
 		revision: rev,
 	})
-	fol.confirmedDirectly()
+	fol.listedAt = fol.clk.Now()
+	if !stale {
+		fol.confirmedDirectly()
+	}
 }
 
 // watched applies the answer to a watch, unless the feed was faster: the next watch goes on from there.
@@ -313,6 +339,13 @@
 	return fol.revision
 }
 
+// Current returns the age of the copy: the time since the store confirmed it through whichever daemon.
+func (fol *Follower) Current() time.Duration {
+	fol.mu.Lock()
+	defer fol.mu.Unlock()
+	return fol.clk.Since(fol.heard)
+}
+
 // Direct returns when the store last confirmed the copy to this daemon itself, zero if it never did.
 func (fol *Follower) Direct() time.Time {
 	fol.mu.Lock()
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -81,6 +81,7 @@
 			}
 			return slices.Clone(reg.changes), reg.revision, nil
 		},
+		ListStale: func(context.Context, string) ([]objects.Object, uint64, error) { return nil, 1, nil },
 		Watch: func(ctx context.Context, _ string, since uint64) ([]objects.Object, uint64, error) {
 			reg.mu.Lock()
 			defer reg.mu.Unlock()
@@ -115,6 +116,8 @@
 type copied struct {
 	// own says that the follower has to watch the store itself.
 	own atomic.Bool
+	// stale says that the first list may be old.
+	stale atomic.Bool
 
 	mu    sync.Mutex
 	names map[string]uint64
@@ -139,13 +142,32 @@
 
 // started returns a follower of reg that has listed.
 func started(tst *testing.T, reg *registry, clk clockwork.Clock) (*follow.Follower, *copied) {
+	tst.Helper()
+	return startedWith(tst, reg, clk, &copied{})
+}
+
+// startedStale returns a follower whose first list is as old as the empty registry.
+func startedStale(tst *testing.T, reg *registry, clk clockwork.Clock) (*follow.Follower, *copied) {
+	tst.Helper()
 	cop := &copied{}
+	cop.stale.Store(true)
+	return startedWith(tst, reg, clk, cop)
+}
+
+func startedWith(tst *testing.T, reg *registry, clk clockwork.Clock, cop *copied) (*follow.Follower, *copied) {
+	tst.Helper()
 	cfg := follow.Config{
 		Kind:   kind,
 		Gather: func() time.Duration { return 0 },
 		Trust:  trust,
 		Fed:    func() bool { return true },
-		Own:    cop.own.Load,
+		Patience: func() time.Duration {
+			if cop.own.Load() {
+				return 0
+			}
+			return trust
+		},
+		Stale: cop.stale.Load,
 	}
 	fol := follow.New(cfg, reg.store(), cop.take, clk, zap.NewNop())
 	ctx, cancel := context.WithCancel(tst.Context())
@@ -334,3 +356,28 @@
 	}
 	qt.Check(tst, reg.made() <= 8, qt.IsTrue, qt.Commentf("%d watches in 1.5 s of failure", reg.made()))
 }
+
+// TestOldListIsBroughtUpToDate guards against a daemon that counts an old list as current, or asks the store for what
+// another daemon passes on in the next moment.
+func TestOldListIsBroughtUpToDate(tst *testing.T) {
+	reg := newRegistry()
+	clk := clockwork.NewFakeClock()
+	one, _ := started(tst, reg, clk)
+	reg.put("s0")
+	eventually(tst, func() bool { return one.Revision() == 2 })
+	before := reg.made()
+	two, cop := startedStale(tst, reg, clk)
+	qt.Check(tst, two.Heard().IsZero(), qt.IsTrue)
+	qt.Check(tst, cop.version("s0"), qt.Equals, uint64(0))
+	feed(tst, clk, one, two)
+	eventually(tst, func() bool { return cop.version("s0") == 2 })
+	qt.Check(tst, two.Heard(), qt.Equals, clk.Now())
+	qt.Check(tst, reg.made()-before <= 1, qt.IsTrue)
+
+	alone, cop := startedStale(tst, reg, clk)
+	eventually(tst, func() bool {
+		clk.Advance(100 * time.Millisecond)
+		return cop.version("s0") == 2
+	})
+	qt.Check(tst, alone.Heard().IsZero(), qt.IsFalse)
+}
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -38,12 +38,14 @@
 // Store returns the client's calls as function fields.
 func (cli *Client) Store() Store {
 	return Store{
-		Get:    cli.Get,
-		List:   cli.List,
-		Put:    cli.Put,
-		Delete: cli.Delete,
-		Watch:  cli.Watch,
-		VMs:    cli.VMs,
+		Get:       cli.Get,
+		List:      cli.List,
+		GetStale:  cli.Get,
+		ListStale: cli.List,
+		Put:       cli.Put,
+		Delete:    cli.Delete,
+		Watch:     cli.Watch,
+		VMs:       cli.VMs,
 	}
 }
 
--- a/internal/objects/object.go
+++ b/internal/objects/object.go
@@ -65,6 +65,9 @@
 	Get func(ctx context.Context, kind, name string) (Object, error)
 	// List returns all objects of a kind and the store's revision at that moment.
 	List func(ctx context.Context, kind string) ([]Object, uint64, error)
+	// GetStale and ListStale are Get and List whose answers may be seconds old, on platforms where they cost less.
+	GetStale  func(ctx context.Context, kind, name string) (Object, error)
+	ListStale func(ctx context.Context, kind string) ([]Object, uint64, error)
 	// Put writes value if the version is still expected; expected 0 creates. It returns the new version.
 	Put func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error)
 	// Delete removes the object if its version is still expected.
--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -38,8 +38,10 @@
 	sendTimeout = 300 * time.Millisecond
 	// peerPause is the time for which a peer that cannot be reached is left alone.
 	peerPause = time.Second
-	// keyPause is the time between two attempts to learn the key.
-	keyPause = time.Second
+	// keyPause is the time between two attempts to learn the key, and createAfter that after which any daemon puts one:
+	// reads may be some seconds old.
+	keyPause    = 400 * time.Millisecond
+	createAfter = 4 * time.Second
 )
 
 // word is what a daemon tells the others: its work in progress, and requests that broke connections since it last
@@ -86,8 +88,6 @@
 	isHub bool
 
 	mu sync.Mutex
-	// rank is the place of this daemon among those that look after the site, -1 if it has none.
-	rank int
 	// resting holds until when a peer is left alone, and busy those to which a frame is on its way.
 	resting map[string]time.Time
 	busy    map[string]bool
@@ -135,7 +135,6 @@
 		log:      log.Named("peers"),
 		instance: instance,
 		resting:  map[string]time.Time{},
-		rank:     -1,
 		busy:     map[string]bool{},
 		crashes:  newNews[quarantine.Crash](clk),
 		leaving:  newNews[roster.Life](clk),
@@ -168,6 +167,8 @@
 			prs.leaving.add(lfe, 0)
 		}
 	}
+	prs.fdg.Hear(from.Name, wrd.Self)
+	prs.fdg.Take(wrd.Feed, prs.src.fed())
 	if from.AvailabilityZone != prs.set.Entry.AvailabilityZone && prs.src.large() {
 		if wrd.Zone != nil {
 			prs.viw.TakeZone(from.Name, from.AvailabilityZone, *wrd.Zone, now)
@@ -178,10 +179,6 @@
 	if wrd.Site != nil {
 		prs.viw.TakeSite(from.Name, *wrd.Site, wrd.Included, now)
 	}
-	if from.AvailabilityZone == prs.set.Entry.AvailabilityZone {
-		prs.fdg.Hear(from.Name, wrd.Self)
-		prs.fdg.Take(wrd.Feed, prs.src.fed())
-	}
 }
 
 // sharedKey is the value of the object that holds the key of the daemons.
@@ -191,8 +188,13 @@
 
 // run learns the key and announces until ctx ends.
 func (prs *peers) run(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-prs.src.daemonsKnown:
+	}
+	start := prs.clk.Now()
 	for ctx.Err() == nil {
-		err := prs.learnKey(ctx)
+		err := prs.learnKey(ctx, prs.clk.Since(start))
 		if err == nil {
 			break
 		}
@@ -210,6 +212,7 @@
 	pln := prs.hbs.Plan(prs.src.registered())
 	prs.note(pln)
 	wrd := prs.word(sequence)
+	watches := prs.src.watches()
 	feeds := prs.feedsOthers(pln, wrd)
 	var zone, site *loadview.Sum
 	for _, rcp := range pln.Recipients {
@@ -229,7 +232,8 @@
 			own.Site = site
 			own.Included = prs.viw.Sequence(rcp.Name)
 		}
-		if feeds && rcp.AvailabilityZone == prs.set.Entry.AvailabilityZone {
+		// What the store said to this daemon itself goes to all whom it tells, the rest from a hub to its zone.
+		if watches || (feeds && rcp.Relation == hub.Member) {
 			own.Feed = prs.fdg.For(rcp.Name, prs.src.fed())
 		}
 		prs.announce(ctx, rcp.Daemon, own)
@@ -238,22 +242,13 @@
 
 // note keeps the place of this daemon and logs changes of it.
 func (prs *peers) note(pln hub.Plan) {
-	prs.mu.Lock()
-	prs.rank = pln.Rank
-	prs.mu.Unlock()
+	prs.src.setRank(pln.Rank)
 	if pln.Hub != prs.isHub {
 		prs.isHub = pln.Hub
 		prs.log.Info("is a hub of its availability zone, or no longer", zap.Bool("hub", pln.Hub), zap.Int("rank", pln.Rank), zap.Strings("hubs", pln.Hubs))
 	}
 }
 
-// foremost reports whether this daemon is one of the few that look after the site.
-func (prs *peers) foremost() bool {
-	prs.mu.Lock()
-	defer prs.mu.Unlock()
-	return prs.rank >= 0 && prs.rank < seekers
-}
-
 // word returns what this daemon tells all others now.
 func (prs *peers) word(sequence uint64) word {
 	wrd := word{
@@ -269,16 +264,14 @@
 		wrd.Crashes = append(wrd.Crashes, crs)
 	})
 	prs.leaving.fresh(func(lfe roster.Life, _ time.Duration) { wrd.Leaving = append(wrd.Leaving, lfe) })
-	held := false
 	if ver, renewed, ok := prs.les.Renewal(); ok {
-		held = true
 		wrd.Lease = ver
 		wrd.Renewed = prs.clk.Since(renewed)
 	} else if ver, renewed, ok := prs.les.Told(); ok && prs.src.large() {
 		wrd.Lease = ver
 		wrd.Renewed = prs.clk.Since(renewed)
 	}
-	wrd.Self = prs.fdg.Say(prs.src.registry().Direct(), held)
+	wrd.Self = prs.fdg.Say(prs.src.current(), prs.src.fed())
 	return wrd
 }
 
@@ -288,7 +281,7 @@
 	if feeds != prs.feeds {
 		prs.feeds = feeds
 		prs.log.Info("feeds its availability zone with changes of the store, or no longer",
-			zap.Bool("feeds", feeds), zap.Duration("confirmed", wrd.Self.Confirmed), zap.Uint64("lease", wrd.Lease))
+			zap.Bool("feeds", feeds), zap.Duration("age", prs.src.registry().Current()), zap.Uint64("lease", wrd.Lease))
 	}
 	return feeds
 }
@@ -307,31 +300,19 @@
 	}
 }
 
-// learnKey reads the key from the store, where the first daemon puts one.
-func (prs *peers) learnKey(ctx context.Context) error {
+// learnKey reads the key from the store, where the first daemon by name puts one; the others do so only if none comes.
+func (prs *peers) learnKey(ctx context.Context, waited time.Duration) error {
 	if prs.set.Peers.Key != "" {
 		return nil
 	}
-	obj, err := prs.pst.Get(ctx, objects.KindSecret, nameKey)
+	obj, err := prs.pst.GetStale(ctx, objects.KindSecret, nameKey)
 	if errors.Is(err, objects.ErrNotFound) {
-		own := sharedKey{
-			Key: make([]byte, keySize),
-		}
-		if _, err := rand.Read(own.Key); err != nil {
-			return errors.Trace(err)
-		}
-		val, err := json.Marshal(own)
-		if err != nil {
+		if waited < createAfter && !prs.src.first() {
 			return errors.Trace(err)
 		}
-		if _, err := prs.pst.Put(ctx, objects.KindSecret, nameKey, 0, val); err != nil && !errors.Is(err, objects.ErrConflict) {
-			return errors.Trace(err)
-		}
-		obj, err = prs.pst.Get(ctx, objects.KindSecret, nameKey)
-		if err != nil {
-			return errors.Trace(err)
-		}
-	} else if err != nil {
+		obj, err = prs.createKey(ctx)
+	}
+	if err != nil {
 		return errors.Trace(err)
 	}
 	var key sharedKey
@@ -345,6 +326,25 @@
 	return nil
 }
 
+// createKey puts a key into the store unless there is one, and returns the one that is there.
+func (prs *peers) createKey(ctx context.Context) (objects.Object, error) {
+	own := sharedKey{
+		Key: make([]byte, keySize),
+	}
+	if _, err := rand.Read(own.Key); err != nil {
+		return objects.Object{}, errors.Trace(err)
+	}
+	val, err := json.Marshal(own)
+	if err != nil {
+		return objects.Object{}, errors.Trace(err)
+	}
+	if _, err := prs.pst.Put(ctx, objects.KindSecret, nameKey, 0, val); err != nil && !errors.Is(err, objects.ErrConflict) {
+		return objects.Object{}, errors.Trace(err)
+	}
+	obj, err := prs.pst.Get(ctx, objects.KindSecret, nameKey)
+	return obj, errors.Trace(err)
+}
+
 // announce sends to one peer unless the last frame is still on its way.
 func (prs *peers) announce(ctx context.Context, dmn hub.Daemon, wrd word) {
 	now := prs.clk.Now()
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -181,7 +181,7 @@
 	sea := steward.Seams{
 		Table:    func() *route.Table { return src.table.Load() },
 		Roster:   func() *roster.View { return src.roster.View() },
-		Foremost: prs.foremost,
+		Foremost: src.foremost,
 		Settled:  src.settled,
 		Quiet:    func() bool { return set.Site.FirstStart && !rly.Used() },
 		Order: func(ctx context.Context, ord formation.Order, fence uint64) error {
--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -36,6 +36,15 @@
 	// knowShare is the share of the time within which a change must be known that may pass before the daemon asks
 	// the store; the rest is for the call.
 	knowShare = 0.6
+	// firstPatience is the share of that time after which the first hub asks the store itself if it is fed nothing, and
+	// morePatience what each further one adds: one of them asks first and feeds the others.
+	firstPatience = 0.6
+	morePatience  = 0.1
+	// registerTime is the time in which all daemons of a site that starts register, feedTime that in which its hubs know
+	// the backend servers, and unknownFor the time after which a daemon that knows no other one goes on.
+	registerTime = 350 * time.Millisecond
+	feedTime     = 2500 * time.Millisecond
+	unknownFor   = 2 * time.Second
 	// gatherDaemons is the pause after daemons came: a site that starts registers all of them.
 	gatherDaemons = 2 * time.Second
 	// gatherOthers is the pause after changes of other kinds.
@@ -61,8 +70,14 @@
 	fols   map[string]*follow.Follower
 
 	stopping atomic.Bool
-	mu       sync.Mutex
-	daemons  map[string]daemon
+	// daemonsKnown is closed once the daemons have been listed.
+	daemonsKnown chan struct{}
+	known        sync.Once
+
+	mu sync.Mutex
+	// rank is the place of this daemon among those that look after the site, -1 if it has none.
+	rank    int
+	daemons map[string]daemon
 	// unreadable holds the versions of entries that could not be decoded, so that each is logged once.
 	unreadable map[string]uint64
 	addresses  map[string]bool
@@ -79,42 +94,47 @@
 	log *zap.Logger,
 ) *sources {
 	src := &sources{
-		set:        set,
-		pst:        pst,
-		inv:        inv,
-		les:        les,
-		brd:        brd,
-		clk:        clk,
-		log:        log.Named("sources"),
-		roster:     roster.New(),
-		fols:       map[string]*follow.Follower{},
+		set:    set,
+		pst:    pst,
+		inv:    inv,
+		les:    les,
+		brd:    brd,
+		clk:    clk,
+		log:    log.Named("sources"),
+		roster: roster.New(),
+		fols:   map[string]*follow.Follower{},
+
+		daemonsKnown: make(chan struct{}),
+		rank:         -1,
+
 		daemons:    map[string]daemon{},
 		unreadable: map[string]uint64{},
 		addresses:  map[string]bool{},
 		out:        map[string]uint64{},
 	}
-	no := func() bool { return false }
 	others := func() time.Duration { return gatherOthers }
-	src.follow(platform.KindServer, src.gatherServers, src.feedTrust(), les.Held, src.takeServers)
-	src.follow(platform.KindConfig, others, src.feedTrust(), no, src.takeConfig)
-	src.follow(platform.KindEvacuation, others, src.feedTrust(), no, src.takeEvacuations)
-	src.follow(objects.KindDaemon, func() time.Duration { return gatherDaemons }, 0, no, src.takeDaemons)
+	src.follow(platform.KindServer, src.gatherServers, src.large, src.takeServers)
+	src.follow(platform.KindConfig, others, src.large, src.takeConfig)
+	src.follow(platform.KindEvacuation, others, src.large, src.takeEvacuations)
+	// Daemons that start for the first time are missing from an old list, and then nobody feeds them.
+	restarts := func() bool { return !set.Site.FirstStart }
+	src.follow(objects.KindDaemon, func() time.Duration { return gatherDaemons }, restarts, src.takeDaemons)
 	return src
 }
 
 func (src *sources) follow(
 	kind string,
 	gather func() time.Duration,
-	trust time.Duration,
-	own func() bool,
+	stale func() bool,
 	take func(objs []objects.Object, whole bool),
 ) {
 	cfg := follow.Config{
-		Kind:   kind,
-		Gather: gather,
-		Trust:  trust,
-		Fed:    src.large,
-		Own:    own,
+		Kind:     kind,
+		Gather:   gather,
+		Trust:    src.feedTrust(),
+		Fed:      src.large,
+		Patience: src.patience,
+		Stale:    stale,
 	}
 	src.fols[kind] = follow.New(cfg, src.pst, take, src.clk, src.log)
 }
@@ -124,6 +144,58 @@
 	return src.countDaemons() > hub.SmallSite
 }
 
+// patience returns the age of a copy at which this daemon asks the store: none for the holder of the lease, which acts by
+// what it knows, and the less the closer a hub is to the first.
+func (src *sources) patience() time.Duration {
+	if src.les.Held() {
+		return 0
+	}
+	share := 1.0
+	if rank := src.place(); rank >= 0 {
+		share = min(firstPatience+float64(rank)*morePatience, 1)
+	}
+	return time.Duration(share * float64(src.feedTrust()))
+}
+
+// setRank notes the place of this daemon among those that look after the site, -1 if it has none.
+func (src *sources) setRank(rank int) {
+	src.mu.Lock()
+	defer src.mu.Unlock()
+	src.rank = rank
+}
+
+func (src *sources) place() int {
+	src.mu.Lock()
+	defer src.mu.Unlock()
+	return src.rank
+}
+
+// foremost reports whether this daemon is one of the few that look after the site.
+func (src *sources) foremost() bool {
+	rank := src.place()
+	return rank >= 0 && rank < seekers
+}
+
+// first reports whether this daemon is the first by name of those that are registered.
+func (src *sources) first() bool {
+	for _, dmn := range src.registered() {
+		if dmn.Name < src.set.Entry.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// current reports whether the copy of the registry is current.
+func (src *sources) current() bool {
+	return src.registry().Current() < src.feedTrust()
+}
+
+// watches reports whether the store itself has told this daemon of the registry of late.
+func (src *sources) watches() bool {
+	return src.large() && src.clk.Since(src.registry().Direct()) < src.feedTrust()
+}
+
 // feedTrust is the time for which a copy that is fed counts as current.
 func (src *sources) feedTrust() time.Duration {
 	return time.Duration(float64(src.set.Site.KnowWithin) * knowShare)
@@ -135,6 +207,7 @@
 		src.registry(),
 		src.fols[platform.KindConfig],
 		src.fols[platform.KindEvacuation],
+		src.fols[objects.KindDaemon],
 	}
 }
 
@@ -155,10 +228,56 @@
 }
 
 func (src *sources) run(ctx context.Context, wgr *sync.WaitGroup) {
-	for _, fol := range src.fols {
-		wgr.Go(func() { fol.Run(ctx) })
-	}
 	wgr.Go(func() { src.register(ctx) })
+	for kind, fol := range src.fols {
+		if kind == objects.KindDaemon {
+			wgr.Go(func() {
+				src.await(ctx, src.startPause())
+				fol.Run(ctx)
+			})
+			continue
+		}
+		wgr.Go(func() {
+			select {
+			case <-ctx.Done():
+			case <-src.daemonsKnown:
+			case <-src.clk.After(unknownFor):
+			}
+			src.await(ctx, src.memberPause())
+			fol.Run(ctx)
+		})
+	}
+}
+
+// startPause is the time until the daemons are listed: a site that starts for the first time registers all of them.
+func (src *sources) startPause() time.Duration {
+	if src.set.Site.FirstStart {
+		return registerTime
+	}
+	return 0
+}
+
+// memberPause is the time by which a daemon that others feed lists the rest later when the site starts for the first
+// time: by then the hubs are up to date, and an old list holds most of what there is.
+func (src *sources) memberPause() time.Duration {
+	if !src.set.Site.FirstStart || !src.large() {
+		return 0
+	}
+	pln := hub.New(src.set.Entry.Name, src.set.Entry.AvailabilityZone, src.clk).Plan(src.registered())
+	if pln.Hub {
+		return 0
+	}
+	return feedTime
+}
+
+func (src *sources) await(ctx context.Context, span time.Duration) {
+	if span <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-src.clk.After(span):
+	}
 }
 
 // daemon is the value by which a daemon is known to the others.
@@ -181,10 +300,7 @@
 		}
 		src.log.Warn("cannot register this daemon", logging.Error(err))
 		err = nil
-		select {
-		case <-ctx.Done():
-		case <-src.clk.After(registerPause):
-		}
+		src.await(ctx, registerPause)
 	}
 }
 
@@ -334,6 +450,9 @@
 	if whole {
 		clear(src.daemons)
 	}
+	if whole {
+		defer src.knowDaemons()
+	}
 	for _, obj := range objs {
 		if obj.Deleted {
 			delete(src.daemons, obj.Name)
@@ -348,6 +467,11 @@
 	}
 }
 
+// knowDaemons lets those go on that wait for the first list of daemons.
+func (src *sources) knowDaemons() {
+	src.known.Do(func() { close(src.daemonsKnown) })
+}
+
 // registered returns the registered daemons, this one included.
 func (src *sources) registered() []hub.Daemon {
 	src.mu.Lock()
