Put nothing in force that an old list says until the store has confirmed it

The relay and the steward get no configuration until the copies of servers, configuration and evacuations have been confirmed, by a watch or a feed; the daemon is not ready before. Ruled out: listing anew in each daemon (the calls that the old lists save). Before: TestOldListIsNotInForce sees the old table; after: none until the watch has answered.

--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -25,7 +25,6 @@
 	"github.com/cumintally/cumintally/internal/relay"
 	"github.com/cumintally/cumintally/internal/retrybudget"
 	"github.com/cumintally/cumintally/internal/roster"
-	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/socket"
 	"github.com/cumintally/cumintally/internal/steward"
@@ -137,7 +136,7 @@
 	log *zap.Logger,
 ) *relay.Relay {
 	sea := relay.Seams{
-		Table:        src.table.Load,
+		Table:        src.inForce,
 		Choose:       plm.Choose,
 		Connect:      pol.Get,
 		CountRequest: bud.Request,
@@ -179,7 +178,7 @@
 		StallTime: set.Site.StallTime,
 	}
 	sea := steward.Seams{
-		Table:    func() *route.Table { return src.table.Load() },
+		Table:    src.inForce,
 		Roster:   func() *roster.View { return src.roster.View() },
 		Foremost: src.foremost,
 		Settled:  src.settled,
--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -502,9 +502,20 @@
 	return src.registry().Settled(span)
 }
 
+// inForce returns the configuration in force, nil until the store has confirmed the copies of this daemon's process: a
+// first list that is old may hold a key that was withdrawn, or a backend server that has left.
+func (src *sources) inForce() *route.Table {
+	for _, kind := range []string{platform.KindServer, platform.KindConfig, platform.KindEvacuation} {
+		if src.fols[kind].Heard().IsZero() {
+			return nil
+		}
+	}
+	return src.table.Load()
+}
+
 // ready reports whether the daemon can serve: it knows the configuration and the backend servers.
 func (src *sources) ready() bool {
-	return !src.stopping.Load() && src.table.Load() != nil && !src.registry().Heard().IsZero()
+	return !src.stopping.Load() && src.inForce() != nil
 }
 
 // fail makes readiness fail for good.
