Keep one pause and one rank in the daemon of prepared machines

Found on reading the whole change: the wait for a span or the end of a context stood three times in internal/site, the rank of the daemon had a setter and a getter under a lock for one number, takeDaemons asked twice whether a list is whole, and two comments did not use the usual terms. Behaviour is as it was; no test changed. Run: make lint; go test ./platform ./internal/site without the soak; internal/site with the race detector.

--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -199,11 +199,11 @@
 			break
 		}
 		prs.log.Warn("does not know the key of the daemons yet", logging.Error(err))
-		prs.sleep(ctx, keyPause)
+		sleep(ctx, prs.clk, keyPause)
 	}
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 		prs.speak(ctx, sequence)
-		prs.sleep(ctx, loadview.Interval(prs.src.countDaemons()))
+		sleep(ctx, prs.clk, loadview.Interval(prs.src.countDaemons()))
 	}
 }
 
@@ -240,9 +240,9 @@
 	}
 }
 
-// note keeps the place of this daemon and logs changes of it.
+// note keeps the rank of this daemon and logs when it becomes a hub or stops being one.
 func (prs *peers) note(pln hub.Plan) {
-	prs.src.setRank(pln.Rank)
+	prs.src.rank.Store(int64(pln.Rank))
 	if pln.Hub != prs.isHub {
 		prs.isHub = pln.Hub
 		prs.log.Info("is a hub of its availability zone, or no longer", zap.Bool("hub", pln.Hub), zap.Int("rank", pln.Rank), zap.Strings("hubs", pln.Hubs))
@@ -376,10 +376,3 @@
 		}
 	}()
 }
-
-func (prs *peers) sleep(ctx context.Context, span time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-prs.clk.After(span):
-	}
-}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -120,10 +120,7 @@
 	for ctx.Err() == nil {
 		ste.dep.Pool.Trim(ste.dep.Sources.listed)
 		ste.dep.Sources.trim()
-		select {
-		case <-ctx.Done():
-		case <-ste.dep.Clock.After(trimInterval):
-		}
+		sleep(ctx, ste.dep.Clock, trimInterval)
 	}
 }
 
--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -74,9 +74,10 @@
 	daemonsKnown chan struct{}
 	known        sync.Once
 
-	mu sync.Mutex
-	// rank is the place of this daemon among those that look after the site, -1 if it has none.
-	rank    int
+	// rank is the position of this daemon among the hubs of the site, on a small site among all daemons; -1 for none.
+	rank atomic.Int64
+
+	mu      sync.Mutex
 	daemons map[string]daemon
 	// unreadable holds the versions of entries that could not be decoded, so that each is logged once.
 	unreadable map[string]uint64
@@ -105,13 +106,13 @@
 		fols:   map[string]*follow.Follower{},
 
 		daemonsKnown: make(chan struct{}),
-		rank:         -1,
 
 		daemons:    map[string]daemon{},
 		unreadable: map[string]uint64{},
 		addresses:  map[string]bool{},
 		out:        map[string]uint64{},
 	}
+	src.rank.Store(-1)
 	others := func() time.Duration { return gatherOthers }
 	src.follow(platform.KindServer, src.gatherServers, src.large, src.takeServers)
 	src.follow(platform.KindConfig, others, src.large, src.takeConfig)
@@ -151,28 +152,15 @@
 		return 0
 	}
 	share := 1.0
-	if rank := src.place(); rank >= 0 {
+	if rank := src.rank.Load(); rank >= 0 {
 		share = min(firstPatience+float64(rank)*morePatience, 1)
 	}
 	return time.Duration(share * float64(src.feedTrust()))
 }
 
-// setRank notes the place of this daemon among those that look after the site, -1 if it has none.
-func (src *sources) setRank(rank int) {
-	src.mu.Lock()
-	defer src.mu.Unlock()
-	src.rank = rank
-}
-
-func (src *sources) place() int {
-	src.mu.Lock()
-	defer src.mu.Unlock()
-	return src.rank
-}
-
-// foremost reports whether this daemon is one of the few that look after the site.
+// foremost reports whether this daemon is one of the few that often try to take the lease of the site.
 func (src *sources) foremost() bool {
-	rank := src.place()
+	rank := src.rank.Load()
 	return rank >= 0 && rank < seekers
 }
 
@@ -232,7 +220,7 @@
 	for kind, fol := range src.fols {
 		if kind == objects.KindDaemon {
 			wgr.Go(func() {
-				src.await(ctx, src.startPause())
+				sleep(ctx, src.clk, src.startPause())
 				fol.Run(ctx)
 			})
 			continue
@@ -243,7 +231,7 @@
 			case <-src.daemonsKnown:
 			case <-src.clk.After(unknownFor):
 			}
-			src.await(ctx, src.memberPause())
+			sleep(ctx, src.clk, src.memberPause())
 			fol.Run(ctx)
 		})
 	}
@@ -270,13 +258,14 @@
 	return feedTime
 }
 
-func (src *sources) await(ctx context.Context, span time.Duration) {
+// sleep waits for span or until ctx ends.
+func sleep(ctx context.Context, clk clockwork.Clock, span time.Duration) {
 	if span <= 0 {
 		return
 	}
 	select {
 	case <-ctx.Done():
-	case <-src.clk.After(span):
+	case <-clk.After(span):
 	}
 }
 
@@ -300,7 +289,7 @@
 		}
 		src.log.Warn("cannot register this daemon", logging.Error(err))
 		err = nil
-		src.await(ctx, registerPause)
+		sleep(ctx, src.clk, registerPause)
 	}
 }
 
@@ -449,9 +438,7 @@
 	defer src.mu.Unlock()
 	if whole {
 		clear(src.daemons)
-	}
-	if whole {
-		defer src.knowDaemons()
+		defer src.known.Do(func() { close(src.daemonsKnown) })
 	}
 	for _, obj := range objs {
 		if obj.Deleted {
@@ -467,11 +454,6 @@
 	}
 }
 
-// knowDaemons lets those go on that wait for the first list of daemons.
-func (src *sources) knowDaemons() {
-	src.known.Do(func() { close(src.daemonsKnown) })
-}
-
 // registered returns the registered daemons, this one included.
 func (src *sources) registered() []hub.Daemon {
 	src.mu.Lock()
