Spread requests by what the view of other daemons' work lacks

Cause: daemons with the same late view all chose the group that looked emptiest.

Change: the requests that other daemons have sent since their last word are estimated from those in progress, the time that one stays and the age of the words; they raise the lowest scores to one level, and a group is drawn by what it lies below that level.

--- a/internal/loadview/view.go
+++ b/internal/loadview/view.go
@@ -243,19 +243,50 @@
 	}
 }
 
-// Others returns the work of all other daemons at a backend server, by the widest view that this daemon has.
-func (viw *View) Others(server string, now time.Time) Load {
+// Age returns the mean age of what the widest view says of the other daemons, 0 if there are none.
+func (viw *View) Age(now time.Time) time.Duration {
 	viw.mu.Lock()
 	defer viw.mu.Unlock()
 	viw.expire(now)
+	if site := viw.site(); site != nil {
+		// A hub adds up what its zone and other hubs told it within the last intervals.
+		return now.Sub(site.at) + Interval(site.daemons)
+	}
+	sum, num := time.Duration(0), 0
+	for _, wrd := range viw.daemons {
+		sum += now.Sub(wrd.at)
+		num++
+	}
+	for zone := range viw.zones {
+		best := widest(viw.zones[zone])
+		sum += time.Duration(best.daemons) * (now.Sub(best.at) + Interval(best.daemons))
+		num += best.daemons
+	}
+	return sum / time.Duration(max(1, num))
+}
+
+// site returns a hub's sum of the whole site if it covers more daemons than what this daemon heard itself; the lock is
+// held and nothing has expired.
+func (viw *View) site() *sum {
 	known := 1 + len(viw.daemons)
 	for zone := range viw.zones {
 		known += widest(viw.zones[zone]).daemons
 	}
+	if site := widest(viw.sites); site != nil && site.daemons > known {
+		return site
+	}
+	return nil
+}
+
+// Others returns the work of all other daemons at a backend server, by the widest view that this daemon has.
+func (viw *View) Others(server string, now time.Time) Load {
+	viw.mu.Lock()
+	defer viw.mu.Unlock()
+	viw.expire(now)
 	all := Load{
 		Server: server,
 	}
-	if site := widest(viw.sites); site != nil && site.daemons > known {
+	if site := viw.site(); site != nil {
 		own := viw.own[site.included][server]
 		all.Requests = max(0, site.loads[server].Requests-own.Requests)
 		all.Unread = max(0, site.loads[server].Unread-own.Unread)
--- a/internal/loadview/view_test.go
+++ b/internal/loadview/view_test.go
@@ -86,3 +86,18 @@
 	}, 0, now.Add(time.Millisecond))
 	qt.Assert(tst, viw.Others("vm-1", now).Requests, qt.Equals, 30)
 }
+
+// Guards against a view that is taken for fresher than it is.
+func TestAgeIsThatOfTheWordsInUse(tst *testing.T) {
+	now := time.Unix(1000, 0)
+	viw := loadview.New()
+	qt.Assert(tst, viw.Age(now), qt.Equals, time.Duration(0))
+	viw.Take("entry-1", announcement(1, 1, 2), now)
+	viw.Take("entry-2", announcement(1, 1, 2), now.Add(100*time.Millisecond))
+	qt.Assert(tst, viw.Age(now.Add(200*time.Millisecond)), qt.Equals, 150*time.Millisecond)
+	viw.TakeSite("hub", loadview.Sum{
+		Daemons: 80,
+		Loads:   announcement(0, 0, 7).Loads,
+	}, 1, now.Add(200*time.Millisecond))
+	qt.Assert(tst, viw.Age(now.Add(250*time.Millisecond)), qt.Equals, 50*time.Millisecond+loadview.Interval(80))
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
 	"github.com/cumintally/cumintally/internal/admission"
@@ -53,6 +54,8 @@
 	InService func(zone string) bool
 	// Others returns what the other daemons have in progress at a backend server.
 	Others func(server string, now time.Time) loadview.Load
+	// OthersAge returns how old that is on average.
+	OthersAge func(now time.Time) time.Duration
 }
 
 // Want is what a request asks for.
@@ -90,10 +93,13 @@
 	sea Seams
 	brd *health.Board
 	gte *coldgate.Gate
+	clk clockwork.Clock
 
 	mu      sync.Mutex
 	own     map[string]*work
 	routers map[routerKey]*router.Router
+	// stays holds how long this daemon's requests stay at a backend server.
+	stays map[stayKey]*stay
 }
 
 // work is what this daemon has in progress at a backend server, without a pause since a time.
@@ -109,14 +115,16 @@
 }
 
 // New returns a placement without requests in progress.
-func New(cfg Config, sea Seams, brd *health.Board, gte *coldgate.Gate) *Placement {
+func New(cfg Config, sea Seams, brd *health.Board, gte *coldgate.Gate, clk clockwork.Clock) *Placement {
 	return &Placement{
 		cfg:     cfg,
 		sea:     sea,
 		brd:     brd,
 		gte:     gte,
+		clk:     clk,
 		own:     map[string]*work{},
 		routers: map[routerKey]*router.Router{},
+		stays:   map[stayKey]*stay{},
 	}
 }
 
@@ -146,7 +154,7 @@
 			sound = slices.Delete(slices.Clone(sound), idx, idx+1)
 			continue
 		}
-		began, release := plm.begin(srv.ID, want.PromptTokens, now)
+		began, release := plm.begin(want, srv.ID, now)
 		return Pick{
 			Server:     srv,
 			Began:      began,
@@ -224,10 +232,15 @@
 	mod := model(want)
 	views := make([]router.View, 0, len(srvs))
 	works := make([]admission.Work, 0, len(srvs))
+	others := 0
 	plm.mu.Lock()
 	rtr := plm.router(want)
 	for _, srv := range srvs {
 		wrk := plm.inProgress(srv.ID, now)
+		others += wrk.Requests
+		if own, ok := plm.own[srv.ID]; ok {
+			others -= own.requests
+		}
 		viw := router.View{
 			Group:      srv.ID,
 			HasAdapter: true,
@@ -246,10 +259,12 @@
 		views = append(views, viw)
 		works = append(works, wrk)
 	}
+	unseen := plm.unseen(&want, others, now)
 	plm.mu.Unlock()
 	req := router.Request{
 		MaxTokens: want.AnswerTokens,
 		Within:    want.Within,
+		Unseen:    unseen,
 	}
 	if eng := want.Service.Engine; eng != nil && eng.ReadRate > 0 {
 		req.Prefill = time.Duration(float64(want.PromptTokens) / eng.ReadRate * float64(time.Second))
@@ -319,6 +334,7 @@
 		Policy:     router.PolicyScore,
 		Prefill:    serviceTime,
 		StepGrowth: serviceTime,
+		Growth:     serviceTime,
 		Tokens:     1,
 		Near:       near,
 	}
@@ -334,11 +350,15 @@
 	cfg.Step = time.Duration(float64(eng.Step) * pace)
 	cfg.StepGrowth = time.Duration(float64(eng.StepPerRequest) * pace)
 	cfg.Tokens = max(1, eng.UsualAnswer)
+	cfg.Growth = time.Duration(cfg.Tokens) * cfg.StepGrowth
+	if eng.ReadRate > 0 {
+		cfg.Growth += time.Duration(pace * float64(eng.UsualPrompt) / eng.ReadRate * float64(time.Second))
+	}
 	return cfg
 }
 
 // begin counts a request at a backend server until release; its prompt counts as unread until began.
-func (plm *Placement) begin(id string, prompt int, now time.Time) (began, release func()) {
+func (plm *Placement) begin(want Want, id string, now time.Time) (began, release func()) {
 	plm.mu.Lock()
 	defer plm.mu.Unlock()
 	own, ok := plm.own[id]
@@ -349,18 +369,24 @@
 		plm.own[id] = own
 	}
 	own.requests++
-	own.unread += prompt
-	left := prompt
+	own.unread += want.PromptTokens
+	left := want.PromptTokens
+	answered := want.Service.Engine == nil
 	began = func() {
 		plm.mu.Lock()
 		defer plm.mu.Unlock()
+		answered = true
 		own.unread -= left
 		left = 0
 	}
 	release = func() {
-		began()
 		plm.mu.Lock()
 		defer plm.mu.Unlock()
+		if answered {
+			plm.stayed(&want, plm.clk.Since(now))
+		}
+		own.unread -= left
+		left = 0
 		own.requests--
 		if own.requests == 0 && plm.own[id] == own {
 			delete(plm.own, id)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 
 	"github.com/cumintally/cumintally/internal/coldgate"
@@ -23,6 +24,7 @@
 	out map[string]bool
 	plm *placement.Placement
 	now time.Time
+	clk *clockwork.FakeClock
 	svc *route.Service
 }
 
@@ -54,16 +56,18 @@
 			},
 		},
 	}
+	bch.clk = clockwork.NewFakeClockAt(bch.now)
 	sea := placement.Seams{
 		Roster:    bch.rst.View,
 		InService: func(zone string) bool { return !bch.out[zone] },
 		Others:    bch.viw.Others,
+		OthersAge: bch.viw.Age,
 	}
 	cfg := placement.Config{
 		AvailabilityZone: "a",
 		ColdExcess:       1,
 	}
-	bch.plm = placement.New(cfg, sea, bch.brd, coldgate.New(func() int { return 1 }))
+	bch.plm = placement.New(cfg, sea, bch.brd, coldgate.New(func() int { return 1 }), bch.clk)
 	return bch
 }
 
@@ -160,6 +164,54 @@
 }
 
 // Replays a lasting overload: what would wait too long is turned away, with the forecast to come back by.
+// Replays a site whose daemons hear of each other every 400 ms: what they have sent since the last word is not in it, so
+// that the emptiest group must not get everything.
+func TestRequestsSinceTheLastWordAreSpread(tst *testing.T) {
+	bch := newBench()
+	for _, name := range []string{"one", "two", "three", "four"} {
+		bch.group(name, "a", roster.Ready)
+	}
+	sequence := uint64(0)
+	tell := func() {
+		sequence++
+		for num, name := range []string{"one", "two", "three"} {
+			bch.viw.Take("entry-"+name, loadview.Announcement{
+				Sequence: sequence,
+				Loads: []loadview.Load{
+					{
+						Server:   name,
+						Requests: 4 + num,
+					},
+				},
+			}, bch.clk.Now())
+		}
+	}
+	choose := func() string {
+		pck, err := bch.plm.Choose(placement.Want{
+			Service:      bch.svc,
+			Model:        "recipes",
+			PromptTokens: 1000,
+			AnswerTokens: 100,
+		}, bch.clk.Now())
+		qt.Assert(tst, err, qt.IsNil)
+		pck.Began()
+		bch.clk.Advance(500 * time.Millisecond)
+		pck.Release()
+		return pck.Server.ID
+	}
+	// Until an answer has shown how long requests stay, the emptiest is best.
+	tell()
+	qt.Assert(tst, choose(), qt.Equals, "four")
+	chosen := map[string]int{}
+	for range 200 {
+		tell()
+		bch.clk.Advance(400 * time.Millisecond)
+		chosen[choose()]++
+	}
+	qt.Assert(tst, chosen["four"] < 150, qt.IsTrue, qt.Commentf("%v", chosen))
+	qt.Assert(tst, chosen["one"] > chosen["three"], qt.IsTrue, qt.Commentf("%v", chosen))
+}
+
 func TestOverloadIsTurnedAway(tst *testing.T) {
 	bch := newBench()
 	bch.group("one", "a", roster.Ready)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,8 @@
 	Tokens int
 	// Near is the part of the best score within which another replica is as good.
 	Near float64
+	// Growth is what one more request adds to the score of a replica; it is needed for requests with Unseen.
+	Growth time.Duration
 	// HalfLife is the time after which a hint counts half, since evictions are learnt late or never.
 	HalfLife time.Duration
 	// MaxPrefixes bounds the prefixes that hints are kept of.
@@ -53,6 +56,8 @@
 	Prefill time.Duration
 	// Within is the time in which the request must start.
 	Within time.Duration
+	// Unseen is the expected number of requests that other daemons have sent to the replicas since the views.
+	Unseen float64
 }
 
 // View is what the daemon knows of one replica; all of it may be late.
@@ -83,6 +88,9 @@
 
 	mu  sync.Mutex
 	rng *rand.Rand
+	// scores and sorted are the memory of one choice.
+	scores []float64
+	sorted []float64
 }
 
 // New returns a router that draws from rng.
@@ -127,32 +135,55 @@
 	}
 }
 
-// best draws among the replicas whose score is near the best one, so that daemons with the same late
-// view do not all choose the same replica.
+// best draws a replica. Daemons with the same late view that all chose its best replica would fill that one, so that
+// the requests which the view lacks count as spread evenly: they raise the lowest scores to a common level, and each
+// replica is drawn by what it lies below that level.
 func (rtr *Router) best(req Request, views []View, now time.Time) int {
 	var fnd found
 	rtr.hnt.find(req.Prefixes, now, &fnd)
 	home := rtr.home(req, views)
-	least := time.Duration(-1)
-	for idx := range views {
-		if scr := rtr.score(req, &views[idx], &fnd, idx == home); least < 0 || scr < least {
-			least = scr
-		}
-	}
-	bound := time.Duration(float64(least) * (1 + rtr.cfg.Near))
-	chosen, near := 0, 0
 	rtr.mu.Lock()
 	defer rtr.mu.Unlock()
+	scores := rtr.scores[:0]
 	for idx := range views {
-		if rtr.score(req, &views[idx], &fnd, idx == home) > bound {
-			continue
+		scores = append(scores, float64(rtr.score(req, &views[idx], &fnd, idx == home)))
+	}
+	rtr.scores = scores
+	least := slices.Min(scores)
+	rtr.sorted = append(rtr.sorted[:0], scores...)
+	slices.Sort(rtr.sorted)
+	bound := max(least*(1+rtr.cfg.Near), level(rtr.sorted, req.Unseen*float64(rtr.cfg.Growth)))
+	total := 0.0
+	for _, scr := range scores {
+		total += weight(scr, bound)
+	}
+	draw := rtr.rng.Float64() * total
+	for idx, scr := range scores {
+		wgt := weight(scr, bound)
+		if wgt > 0 && draw < wgt {
+			return idx
 		}
-		near++
-		if rtr.rng.IntN(near) == 0 {
-			chosen = idx
+		draw -= wgt
+	}
+	return slices.Index(scores, least)
+}
+
+// weight is the part of the draw that a score gets.
+func weight(score, bound float64) float64 {
+	return max(0, bound-score)
+}
+
+// level returns the score that the lowest of the sorted scores reach when work is added to them so that they become equal.
+func level(sorted []float64, work float64) float64 {
+	sum := 0.0
+	for idx, scr := range sorted {
+		sum += scr
+		high := (sum + work) / float64(idx+1)
+		if idx+1 == len(sorted) || high <= sorted[idx+1] {
+			return high
 		}
 	}
-	return chosen
+	return 0
 }
 
 // home returns the replica that daemons without a hint agree on for a prompt's first prefix, so that it
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -98,6 +99,42 @@
 	}
 }
 
+// TestDaemonsWithOneViewSpread replays the time between two words at a site of 80 daemons: 60 of them place a request by
+// the same view. Without a count of what the view lacks all go to the emptiest replicas; one daemon alone with a fresh
+// view still takes the emptiest.
+func TestDaemonsWithOneViewSpread(t *testing.T) {
+	const daemons = 60
+	place := func(unseen float64) []int {
+		views := newViews(14)
+		for idx := range views {
+			views[idx].Running = 8 + idx%4
+		}
+		counts := make([]int, len(views))
+		for seed := range daemons {
+			rtr := router.New(router.Config{
+				Policy:     router.PolicyScore,
+				Prefill:    30 * time.Millisecond,
+				Step:       6 * time.Millisecond,
+				StepGrowth: 240 * time.Microsecond,
+				Growth:     54 * time.Millisecond,
+				Tokens:     100,
+				Near:       0.001,
+			}, rand.New(rand.NewPCG(uint64(seed), 1)))
+			counts[rtr.Choose(router.Request{
+				MaxTokens: 100,
+				Unseen:    unseen,
+			}, views, start)]++
+		}
+		return counts
+	}
+	// An even share is 60/14, and none should get three times as much.
+	qt.Assert(t, slices.Max(place(daemons)) <= 3*daemons/14, qt.IsTrue, qt.Commentf("%v", place(daemons)))
+	fresh := place(0)
+	for idx, num := range fresh {
+		qt.Assert(t, num > 0, qt.Equals, idx%4 == 0, qt.Commentf("%v", fresh))
+	}
+}
+
 // TestChooseAllocatesNothing guards against garbage on the way of every request.
 func TestChooseAllocatesNothing(t *testing.T) {
 	rtr := newRouter(router.PolicyScore, 3)
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -109,6 +109,7 @@
 	viw *loadview.View,
 	brd *health.Board,
 	gte *coldgate.Gate,
+	clk clockwork.Clock,
 ) *placement.Placement {
 	cfg := placement.Config{
 		AvailabilityZone: set.Entry.AvailabilityZone,
@@ -119,8 +120,9 @@
 		Roster:    src.roster.View,
 		InService: func(zone string) bool { return !inv.Zone(zone).Out },
 		Others:    viw.Others,
+		OthersAge: viw.Age,
 	}
-	return placement.New(cfg, sea, brd, gte)
+	return placement.New(cfg, sea, brd, gte, clk)
 }
 
 func newRelay(
