Turn away what would come late, in place of what would come after 2.5 objectives

Cause: in an overload all requests waited until all were late, and a late answer is worth a quarter of one on time.

--- a/internal/admission/forecast_test.go
+++ b/internal/admission/forecast_test.go
@@ -48,3 +48,35 @@
 	qt.Assert(tst, free < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", free))
 	qt.Assert(tst, full-free >= admission.Turn(engine, model), qt.IsTrue)
 }
+
+// Replays a lasting overload of one group: requests come twice as fast as it serves them. Those that are sent begin within
+// their objective, and as many are sent as the group can begin on time.
+func TestOverloadLeavesPlacesToRequestsOnTime(tst *testing.T) {
+	const objective = 500 * time.Millisecond
+	turn := admission.Turn(engine, model)
+	busy := 0
+	sent, late := 0, 0
+	for num := range 400 {
+		// One request ends for every two that come.
+		if num%2 == 0 && busy > engine.Slots {
+			busy--
+		}
+		forecast := admission.Forecast(engine, model, work(busy, 0), engine.UsualPrompt)
+		if forecast > admission.Useful(objective, 0) {
+			continue
+		}
+		busy++
+		sent++
+		if forecast > objective {
+			late++
+		}
+	}
+	qt.Assert(tst, late, qt.Equals, 0)
+	qt.Assert(tst, sent >= 200, qt.IsTrue, qt.Commentf("%d of 400 were sent, one group turns %v", sent, turn))
+}
+
+// Guards against requests that are turned away by idle engines since they have waited elsewhere.
+func TestRequestThatWaitedIsStillOfUse(tst *testing.T) {
+	qt.Assert(tst, admission.Useful(500*time.Millisecond, 3*time.Second) > admission.Forecast(engine, model, work(0, 0), 1000), qt.IsTrue)
+	qt.Assert(tst, admission.Useful(0, time.Second), qt.Equals, time.Duration(0))
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/admission"
 	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/placement"
 	"github.com/cumintally/cumintally/internal/quarantine"
@@ -24,14 +25,9 @@
 const extraSends = 2
 
 const (
-	// usefulFactor is how many times its objective a first token may take before the request is turned away. Late
-	// answers are worth less, and beyond about two objectives callers leave.
-	usefulFactor = 2.5
 	// lateStep is added to the priority of a request that will be late, so that it comes after all priorities of
 	// requests that can be on time.
 	lateStep = 5
-	// leastUseful keeps a request that comes back late from being turned away by idle backend servers.
-	leastUseful = 250 * time.Millisecond
 	// resumeSends takes the place of extraSends for a stream that has begun.
 	resumeSends = 8
 	// resumePause spaces the attempts to go on with a stream, so that resumeSends last for resumePatience.
@@ -180,10 +176,10 @@
 // useful returns the time from now in which the first token of a stream must come. A stream that has begun goes
 // on wherever it can.
 func (run *run) useful() time.Duration {
-	if run.committed || run.route.Objective <= 0 {
+	if run.committed {
 		return 0
 	}
-	return max(leastUseful, time.Duration(float64(run.route.Objective)*usefulFactor)-run.rly.clk.Since(run.start))
+	return admission.Useful(run.route.Objective, run.rly.clk.Since(run.start))
 }
 
 // attempt sends the request to one backend server.
