Start hubs from the store, and try peers again sooner

Hubs listed what may be old, as members do, and waited a second for a feed that nobody could give; peers that did not listen yet were left alone for a second.

Change: daemons that start as hubs list from the store itself; a peer that cannot be reached rests for 100 ms, doubled up to a second.

--- a/internal/site/peers.go
+++ b/internal/site/peers.go
@@ -36,8 +36,10 @@
 	keySize = 32
 	// sendTimeout bounds a frame to a peer that does not read.
 	sendTimeout = 300 * time.Millisecond
-	// peerPause is the time for which a peer that cannot be reached is left alone.
-	peerPause = time.Second
+	// firstRest is the time for which a peer that cannot be reached is left alone at first, about that in which a daemon
+	// begins to listen; it doubles with each failure up to mostRest.
+	firstRest = 100 * time.Millisecond
+	mostRest  = time.Second
 	// keyPause is the time between two attempts to learn the key, and createAfter that after which any daemon puts one:
 	// reads may be some seconds old.
 	keyPause    = 400 * time.Millisecond
@@ -88,14 +90,20 @@
 	isHub bool
 
 	mu sync.Mutex
-	// resting holds until when a peer is left alone, and busy those to which a frame is on its way.
-	resting map[string]time.Time
+	// resting holds the peers that cannot be reached, and busy those to which a frame is on its way.
+	resting map[string]rest
 	busy    map[string]bool
 
 	crashes *news[quarantine.Crash]
 	leaving *news[roster.Life]
 }
 
+// rest is how long a peer that cannot be reached is left alone.
+type rest struct {
+	until time.Time
+	span  time.Duration
+}
+
 func newMesh(set *settings.Settings, met metrics.Registry, log *zap.Logger) *peer.Mesh {
 	ide := peer.Identity{
 		Name:             set.Entry.Name,
@@ -134,7 +142,7 @@
 		clk:      clk,
 		log:      log.Named("peers"),
 		instance: instance,
-		resting:  map[string]time.Time{},
+		resting:  map[string]rest{},
 		busy:     map[string]bool{},
 		crashes:  newNews[quarantine.Crash](clk),
 		leaving:  newNews[roster.Life](clk),
@@ -350,7 +358,7 @@
 	now := prs.clk.Now()
 	prs.mu.Lock()
 	defer prs.mu.Unlock()
-	if prs.busy[dmn.Name] || now.Before(prs.resting[dmn.Name]) {
+	if prs.busy[dmn.Name] || now.Before(prs.resting[dmn.Name].until) {
 		return
 	}
 	prs.busy[dmn.Name] = true
@@ -361,7 +369,7 @@
 		prs.mu.Lock()
 		defer prs.mu.Unlock()
 		prs.busy[dmn.Name] = false
-		_, rested := prs.resting[dmn.Name]
+		last, rested := prs.resting[dmn.Name]
 		if err == nil {
 			prs.fdg.Sent(dmn.Name, wrd.Feed)
 			if rested {
@@ -370,7 +378,11 @@
 			}
 			return
 		}
-		prs.resting[dmn.Name] = prs.clk.Now().Add(peerPause)
+		span := min(max(firstRest, 2*last.span), mostRest)
+		prs.resting[dmn.Name] = rest{
+			until: prs.clk.Now().Add(span),
+			span:  span,
+		}
 		if !rested {
 			prs.log.Info("cannot reach a daemon", zap.String("peer", dmn.Name), logging.Error(err))
 		}
--- a/internal/site/sources.go
+++ b/internal/site/sources.go
@@ -114,9 +114,11 @@
 	}
 	src.rank.Store(-1)
 	others := func() time.Duration { return gatherOthers }
-	src.follow(platform.KindServer, src.gatherServers, src.large, src.takeServers)
-	src.follow(platform.KindConfig, others, src.large, src.takeConfig)
-	src.follow(platform.KindEvacuation, others, src.large, src.takeEvacuations)
+	// The hubs of a site that starts feed all others, who can serve from then on.
+	member := func() bool { return src.large() && !src.startsAsHub() }
+	src.follow(platform.KindServer, src.gatherServers, member, src.takeServers)
+	src.follow(platform.KindConfig, others, member, src.takeConfig)
+	src.follow(platform.KindEvacuation, others, member, src.takeEvacuations)
 	// Daemons that start for the first time are missing from an old list, and then nobody feeds them.
 	restarts := func() bool { return !set.Site.FirstStart }
 	src.follow(objects.KindDaemon, func() time.Duration { return gatherDaemons }, restarts, src.takeDaemons)
@@ -248,16 +250,17 @@
 // memberPause is the time by which a daemon that others feed lists the rest later when the site starts for the first
 // time: by then the hubs are up to date, and an old list holds most of what there is.
 func (src *sources) memberPause() time.Duration {
-	if !src.set.Site.FirstStart || !src.large() {
-		return 0
-	}
-	pln := hub.New(src.set.Entry.Name, src.set.Entry.AvailabilityZone, src.clk).Plan(src.registered())
-	if pln.Hub {
+	if !src.set.Site.FirstStart || !src.large() || src.startsAsHub() {
 		return 0
 	}
 	return feedTime
 }
 
+// startsAsHub reports whether this daemon is a hub while it has heard of no other one.
+func (src *sources) startsAsHub() bool {
+	return hub.New(src.set.Entry.Name, src.set.Entry.AvailabilityZone, src.clk).Plan(src.registered()).Hub
+}
+
 // sleep waits for span or until ctx ends.
 func sleep(ctx context.Context, clk clockwork.Clock, span time.Duration) {
 	if span <= 0 {
--- a/internal/site/sources_test.go
+++ b/internal/site/sources_test.go
@@ -46,10 +46,10 @@
 }
 
 func (ags *agedStore) store() objects.Store {
-	list := func(_ context.Context, kind string) ([]objects.Object, uint64, error) {
+	list := func(_ context.Context, kind string, revision uint64, key string) ([]objects.Object, uint64, error) {
 		switch kind {
 		case platform.KindConfig:
-			return []objects.Object{configObject(oldRevision, "withdrawn")}, oldRevision, nil
+			return []objects.Object{configObject(revision, key)}, revision, nil
 		case objects.KindDaemon:
 			var objs []objects.Object
 			for num := range hub.SmallSite + 1 {
@@ -60,14 +60,18 @@
 					Value:   []byte(`{"AvailabilityZone":"a","Address":"127.0.0.1:1"}`),
 				})
 			}
-			return objs, oldRevision, nil
+			return objs, revision, nil
 		default:
-			return nil, oldRevision, nil
+			return nil, revision, nil
 		}
 	}
 	return objects.Store{
-		List:      list,
-		ListStale: list,
+		List: func(ctx context.Context, kind string) ([]objects.Object, uint64, error) {
+			return list(ctx, kind, newRevision, "valid")
+		},
+		ListStale: func(ctx context.Context, kind string) ([]objects.Object, uint64, error) {
+			return list(ctx, kind, oldRevision, "withdrawn")
+		},
 		Put: func(context.Context, string, string, uint64, []byte) (uint64, error) {
 			return 0, objects.ErrConflict
 		},
@@ -93,14 +97,10 @@
 	}
 }
 
-// Guards against a daemon that starts with an old list and lets a key in that was withdrawn before.
-func TestOldListIsNotInForce(tst *testing.T) {
-	ags := &agedStore{
-		watches:  make(chan struct{}),
-		answered: map[string]bool{},
-	}
+// startSources returns the sources of a daemon of a large site.
+func startSources(tst *testing.T, name string, ags *agedStore) *sources {
 	set, err := settings.New("", []string{
-		"CUMINTALLY_ENTRY_NAME=entry-12",
+		"CUMINTALLY_ENTRY_NAME=" + name,
 		"CUMINTALLY_ENTRY_AVAILABILITYZONE=a",
 		"CUMINTALLY_PLATFORM_PROTOCOL=Machines",
 		"CUMINTALLY_PLATFORM_ADDRESS=127.0.0.1:1",
@@ -111,13 +111,25 @@
 	qt.Assert(tst, err, qt.IsNil)
 	clk := clockwork.NewRealClock()
 	log := zap.NewNop()
-	les := lease.New(steward.Scope, "entry-12", time.Second, ags.store(), clk)
+	les := lease.New(steward.Scope, name, time.Second, ags.store(), clk)
 	src := newSources(set, ags.store(), inventory.New(log), les, health.New(), clk, log)
-	ctx, cancel := context.WithCancel(tst.Context())
+	ctx, cancel := context.WithCancel(context.WithoutCancel(tst.Context()))
 	var wgr sync.WaitGroup
 	src.run(ctx, &wgr)
-	defer wgr.Wait()
-	defer cancel()
+	tst.Cleanup(func() {
+		cancel()
+		wgr.Wait()
+	})
+	return src
+}
+
+// Guards against a daemon that starts with an old list and lets a key in that was withdrawn before.
+func TestOldListIsNotInForce(tst *testing.T) {
+	ags := &agedStore{
+		watches:  make(chan struct{}),
+		answered: map[string]bool{},
+	}
+	src := startSources(tst, "entry-12", ags)
 	eventually(tst, func() bool { return src.table.Load() != nil })
 	qt.Assert(tst, src.inForce(), qt.IsNil)
 	qt.Assert(tst, src.ready(), qt.IsFalse)
@@ -129,6 +141,17 @@
 	qt.Assert(tst, ok, qt.IsTrue)
 }
 
+// Replays a site whose daemons all start at once: its hubs serve, and feed the others, before any watch is answered.
+func TestHubStartsFromTheStore(tst *testing.T) {
+	src := startSources(tst, "entry-00", &agedStore{
+		watches:  make(chan struct{}),
+		answered: map[string]bool{},
+	})
+	eventually(tst, src.ready)
+	_, ok := src.inForce().Authenticate("valid")
+	qt.Assert(tst, ok, qt.IsTrue)
+}
+
 func eventually(tst *testing.T, holds func() bool) {
 	tst.Helper()
 	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
