Tell other daemons of engines that send nothing though answers are due

Cause: a group that lost a member takes requests on and answers none until its entry lapses.

Change: words say how long an engine has been quiet and an answer due; one daemon's silence counts unless another one gets bytes, and leaves the engine out for a while.

--- a/internal/loadview/view.go
+++ b/internal/loadview/view.go
@@ -32,6 +32,25 @@
 	// Requests is the number of requests in progress, Unread that of the prompt tokens whose answer has not begun.
 	Requests int
 	Unread   int
+	// Quiet is the time since the last byte of any answer in progress, Waiting that since an answer was due: since the last
+	// byte or, if later, since the first of the requests was sent. Several daemons know of the last byte together.
+	Quiet   time.Duration
+	Waiting time.Duration
+}
+
+// Add returns the work of two daemons, or of two parts of a site, at one backend server.
+func (lod Load) Add(oth Load) Load {
+	if oth.Requests <= 0 {
+		return lod
+	}
+	if lod.Requests <= 0 {
+		return oth
+	}
+	lod.Requests += oth.Requests
+	lod.Unread += oth.Unread
+	lod.Quiet = min(lod.Quiet, oth.Quiet)
+	lod.Waiting = max(lod.Waiting, oth.Waiting)
+	return lod
 }
 
 // Announcement is a daemon's work in progress at all backend servers.
@@ -180,11 +199,7 @@
 	all := byServer(own)
 	merge := func(loads map[string]Load) {
 		for id, lod := range loads {
-			sum := all[id]
-			sum.Server = id
-			sum.Requests += lod.Requests
-			sum.Unread += lod.Unread
-			all[id] = sum
+			all[id] = all[id].Add(lod)
 		}
 	}
 	total := Sum{
@@ -288,18 +303,18 @@
 	}
 	if site := viw.site(); site != nil {
 		own := viw.own[site.included][server]
-		all.Requests = max(0, site.loads[server].Requests-own.Requests)
-		all.Unread = max(0, site.loads[server].Unread-own.Unread)
+		all = site.loads[server]
+		all.Server = server
+		all.Requests = max(0, all.Requests-own.Requests)
+		all.Unread = max(0, all.Unread-own.Unread)
 		return all
 	}
 	for _, wrd := range viw.daemons {
-		all.Requests += wrd.loads[server].Requests
-		all.Unread += wrd.loads[server].Unread
+		all = all.Add(wrd.loads[server])
 	}
 	for zone := range viw.zones {
-		lod := widest(viw.zones[zone]).loads[server]
-		all.Requests += lod.Requests
-		all.Unread += lod.Unread
+		all = all.Add(widest(viw.zones[zone]).loads[server])
 	}
+	all.Server = server
 	return all
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -34,6 +34,8 @@
 	// silence is the time without a byte after which an engine with requests in progress gets no more: several times
 	// the pause between two events of a full batch.
 	silence = 400 * time.Millisecond
+	// longQuiet stands for an engine that has sent nothing for long, or never.
+	longQuiet = time.Minute
 	// near is the part of the best score within which another backend server is as good.
 	near = 0.05
 )
@@ -171,20 +173,38 @@
 		want.Service.Name, want.Model, len(plm.sea.Roster().Service(want.Service.Name)), len(srvs), len(srvs), back.Round(time.Millisecond))
 }
 
-// silent reports whether an engine has sent nothing for a while although this daemon has requests in progress there:
-// a group that lost a member takes requests on and answers none.
+// silent reports whether an engine has sent nothing to any daemon for a while although an answer is due, and leaves it out
+// then: a group that lost a member takes requests on and answers none. What one daemon finds out spares the others a
+// request each.
 func (plm *Placement) silent(id string, now time.Time) bool {
+	all := plm.sea.Others(id, now)
 	plm.mu.Lock()
-	own, ok := plm.own[id]
+	if own, ok := plm.own[id]; ok {
+		all = all.Add(plm.load(id, own, now))
+	}
 	plm.mu.Unlock()
-	if !ok {
+	if all.Waiting <= silence || all.Quiet <= silence || now.Sub(plm.brd.LastProgress(id)) <= silence {
 		return false
 	}
-	last := own.since
-	if prg := plm.brd.LastProgress(id); prg.After(last) {
-		last = prg
+	// The requests that showed it end; the group is still the same.
+	plm.brd.Exclude(id, now)
+	return true
+}
+
+// load returns what this daemon has in progress at a backend server; the lock is held.
+func (plm *Placement) load(id string, own *work, now time.Time) loadview.Load {
+	last := plm.brd.LastProgress(id)
+	since := own.since
+	if last.After(since) {
+		since = last
+	}
+	return loadview.Load{
+		Server:   id,
+		Requests: own.requests,
+		Unread:   own.unread,
+		Quiet:    min(now.Sub(last), longQuiet),
+		Waiting:  now.Sub(since),
 	}
-	return now.Sub(last) > silence
 }
 
 func (plm *Placement) coldRate(svc *route.Service) float64 {
@@ -397,15 +417,12 @@
 
 // Loads returns what this daemon has in progress at each backend server.
 func (plm *Placement) Loads() []loadview.Load {
+	now := plm.clk.Now()
 	plm.mu.Lock()
 	defer plm.mu.Unlock()
 	loads := make([]loadview.Load, 0, len(plm.own))
 	for id, own := range plm.own {
-		loads = append(loads, loadview.Load{
-			Server:   id,
-			Requests: own.requests,
-			Unread:   own.unread,
-		})
+		loads = append(loads, plm.load(id, own, now))
 	}
 	return loads
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -237,6 +237,46 @@
 	qt.Assert(tst, chosen, qt.DeepEquals, map[string]int{"sound": 10})
 }
 
+// Replays a group that lost a member on a site of many daemons: one that waits there in vain spares the others their own
+// request, unless another one gets bytes from it.
+func TestSilenceOfOthersCounts(tst *testing.T) {
+	bch := newBench()
+	bch.group("silent", "a", roster.Ready)
+	bch.group("sound", "a", roster.Ready)
+	tell := func(daemon string, quiet, waiting time.Duration) {
+		bch.viw.Take(daemon, loadview.Announcement{
+			Sequence: uint64(bch.now.UnixNano()),
+			Loads: []loadview.Load{
+				{
+					Server:   "silent",
+					Requests: 1,
+					Quiet:    quiet,
+					Waiting:  waiting,
+				},
+			},
+		}, bch.now)
+	}
+	tell("entry-1", 2*time.Second, 600*time.Millisecond)
+	tell("entry-2", 10*time.Millisecond, 10*time.Millisecond)
+	chosen, err := bch.counts(20, 0)
+	qt.Assert(tst, err, qt.IsNil)
+	qt.Assert(tst, chosen["silent"] > 0, qt.IsTrue, qt.Commentf("%v", chosen))
+	bch.now = bch.now.Add(time.Millisecond)
+	// Another one has just sent a request there, which says nothing.
+	tell("entry-2", time.Minute, 10*time.Millisecond)
+	chosen, err = bch.counts(20, 0)
+	qt.Assert(tst, err, qt.IsNil)
+	qt.Assert(tst, chosen, qt.DeepEquals, map[string]int{"sound": 20})
+	// The requests that showed it have ended.
+	bch.now = bch.now.Add(300 * time.Millisecond)
+	bch.viw.Take("entry-1", loadview.Announcement{
+		Sequence: uint64(bch.now.UnixNano()),
+	}, bch.now)
+	chosen, err = bch.counts(20, 0)
+	qt.Assert(tst, err, qt.IsNil)
+	qt.Assert(tst, chosen, qt.DeepEquals, map[string]int{"sound": 20})
+}
+
 func TestColdRateIsKept(tst *testing.T) {
 	bch := newBench()
 	bch.apply(roster.Server{
