Emulate placing and turning away on a simulated clock

The package plays load patterns with the daemons' own packages: engines by the published step model, 6 or 80 daemons with views as old as theirs, callers that come back once. The time to come back moves beside the other decisions on overload.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 .PHONY: build run test race soak vet format lint spec fuzz
 .PHONY: prove-control prove-config prove-groups prove-zones prove-requests prove-streams prove-bookings
-.PHONY: bench-relay bench-policy bench-bookings bench-control bench-capacity
+.PHONY: bench-relay bench-policy bench-emulator bench-bookings bench-control bench-capacity
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -96,6 +96,10 @@
 bench-policy: build
 	$(BIN)/cumintally-standin bench-policy --binaries $(BIN)
 
+# Plays load patterns on a simulated clock with the daemons' own decisions, their former ones and baselines.
+bench-emulator: build
+	$(BIN)/cumintally-standin emulate --seed $(SEED)
+
 bench-bookings:
 	$(GO) test ./test/bookings -count=1 -timeout 20m -run Measure -v -measure 5s
 
--- a/internal/relay/final.go
+++ b/internal/relay/final.go
@@ -11,22 +11,14 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/admission"
 	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/refusal"
 )
 
-const (
-	// comeBackLeast and comeBackSpread make up the time to come back: about that in which a group opens or a
-	// registry entry changes, spread so that callers do not return together.
-	comeBackLeast  = 300 * time.Millisecond
-	comeBackSpread = 600 * time.Millisecond
-	// comeBackMost bounds what the work ahead adds, since groups may come back sooner.
-	comeBackMost = 2 * time.Second
-)
-
 // comeBack returns the time after which a refused request has a fair chance: once the work ahead of it is done.
 func (run *run) comeBack() time.Duration {
-	return comeBackLeast + min(run.busyFor, comeBackMost) + time.Duration(rand.Int64N(int64(comeBackSpread)))
+	return admission.ComeBack(run.busyFor, rand.Float64())
 }
 
 // giveUp gives the final answer to a request that is not sent again; cause is why.
--- /dev/null
+++ b/internal/standin/emulator/policy.go
@@ -0,0 +1,107 @@
+package emulator
+
+import (
+	"time"
+
+	"github.com/cumintally/cumintally/internal/admission"
+	"github.com/cumintally/cumintally/internal/placement"
+)
+
+// Policy is a way to place requests and to turn them away.
+type Policy struct {
+	Name string
+	// Patience takes the place of the daemons' bound on forecasts, in objectives; 0 keeps it, and a negative one turns
+	// nothing away.
+	Patience float64
+	// FreshViews says that views count as having no age.
+	FreshViews bool
+	// pick chooses a group by its name in place of the daemons' choice.
+	pick func(ste *site, dmn *daemon, names []string) string
+}
+
+// Policies are the daemons' present one, what it was before, and baselines, which turn nothing away.
+var Policies = []Policy{
+	{
+		Name: "present",
+	},
+	{
+		Name:       "views as if fresh",
+		FreshViews: true,
+	},
+	{
+		Name:     "turns away after 2.5 objectives",
+		Patience: 2.5,
+	},
+	{
+		Name:     "turns nothing away",
+		Patience: -1,
+	},
+	{
+		Name:     "round robin",
+		Patience: -1,
+		pick: func(_ *site, dmn *daemon, names []string) string {
+			dmn.turn++
+			return names[dmn.turn%len(names)]
+		},
+	},
+	{
+		Name:     "least outstanding",
+		Patience: -1,
+		pick: func(ste *site, dmn *daemon, names []string) string {
+			own := map[string]int{}
+			for _, lod := range dmn.plm.Loads() {
+				own[lod.Server] = lod.Requests
+			}
+			best := names[ste.rng.IntN(len(names))]
+			for _, name := range names {
+				if own[name] < own[best] {
+					best = name
+				}
+			}
+			return best
+		},
+	},
+	{
+		Name:     "two choices",
+		Patience: -1,
+		pick: func(ste *site, dmn *daemon, names []string) string {
+			one, two := names[ste.rng.IntN(len(names))], names[ste.rng.IntN(len(names))]
+			if now := ste.clk.Now(); dmn.viw.Others(two, now).Requests < dmn.viw.Others(one, now).Requests {
+				return two
+			}
+			return one
+		},
+	},
+}
+
+func (pol *Policy) useful(objective, waited time.Duration) time.Duration {
+	switch {
+	case pol.Patience < 0:
+		return 0
+	case pol.Patience > 0:
+		return time.Duration(float64(objective) * pol.Patience)
+	default:
+		return admission.Useful(objective, waited)
+	}
+}
+
+func (pol *Policy) choose(ste *site, dmn *daemon, want placement.Want) (placement.Pick, error) {
+	now := ste.clk.Now()
+	if pol.pick == nil {
+		return dmn.plm.Choose(want, now)
+	}
+	var names []string
+	for _, name := range ste.names[want.Model] {
+		if _, ok := ste.rst.View().Server(name); ok {
+			names = append(names, name)
+		}
+	}
+	chosen := pol.pick(ste, dmn, names)
+	// Leaving all others out makes the choice that of the baseline, while its work is counted as usual.
+	for _, name := range names {
+		if name != chosen {
+			want.Avoid = append(want.Avoid, name)
+		}
+	}
+	return dmn.plm.Choose(want, now)
+}
--- a/internal/standin/verb/table.go
+++ b/internal/standin/verb/table.go
@@ -23,6 +23,7 @@
 	newLoad,
 	newRelay,
 	newPolicy,
+	newEmulate,
 }
 
 // New returns the cumintally-standin command with all of its subcommands.
