--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -46,8 +46,6 @@
 	MostLoads int
 	// StartRate is the number of loads of any kind that may start per second, 0 for no limit.
 	StartRate float64
-	// Lost holds the VMs that are gone for good though they are members of groups.
-	Lost map[string]bool
 	// Memory holds the model whose weights a VM holds in memory, by VM; a VM that is missing may hold none.
 	Memory map[string]string
 }
@@ -186,10 +184,6 @@
 		}
 		return
 	}
-	if slices.ContainsFunc(grp.Members, func(mem group.Member) bool { return stp.viw.Lost[mem.VM] }) {
-		stp.release(grp, want)
-		return
-	}
 	ready := 0
 	for rnk, mem := range grp.Members {
 		srv, ok := stp.viw.Roster.Server(mem.VM)
@@ -219,16 +213,6 @@
 	}
 }
 
-// release frees the members that are left of a group that lost one, before it is known what they serve next: the time
-// for which the head may still be open passes meanwhile.
-func (stp *step) release(grp group.Group, plc roster.Place) {
-	for _, mem := range grp.Members {
-		if srv, ok := stp.viw.Roster.Server(mem.VM); ok && srv.Place.Same(plc) && stp.freed(srv) {
-			stp.leave(srv)
-		}
-	}
-}
-
 // join orders a VM into a group once it is free of its former one.
 func (stp *step) join(grp group.Group, srv *roster.Server) {
 	if !stp.freed(srv) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -36,8 +36,6 @@
 	silence = 400 * time.Millisecond
 	// longQuiet stands for an engine that has sent nothing for long, or never.
 	longQuiet = time.Minute
-	// near is the part of the best score within which another backend server is as good.
-	near = 0.05
 )
 
 // Config says where the daemon is.
@@ -365,7 +363,6 @@
 		StepGrowth: serviceTime,
 		Growth:     serviceTime,
 		Tokens:     1,
-		Near:       near,
 	}
 	if eng == nil {
 		return cfg
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -178,7 +178,6 @@
 		MostLoads: svc.Engine.LoadsAtOnce,
 		StartRate: svc.Engine.LoadRate,
 		Memory:    sit.memory(),
-		Lost:      sit.lost(),
 		Service:   svc.Name,
 		Roster:    rst,
 		Spares:    sit.spares(),
--- a/internal/steward/view.go
+++ b/internal/steward/view.go
@@ -80,22 +80,6 @@
 	}
 }
 
-// lost returns the members of groups that are gone for good.
-func (sit *situation) lost() map[string]bool {
-	lost := map[string]bool{}
-	for idx := range sit.domains {
-		alc, _ := sit.inv.Allocation(sit.domains[idx].Name)
-		for _, grp := range alc.Groups {
-			for _, mem := range grp.Members {
-				if _, ok := sit.rst.Server(mem.VM); !ok && sit.missing(alc, mem).Lost {
-					lost[mem.VM] = true
-				}
-			}
-		}
-	}
-	return lost
-}
-
 // groupState notes what the VMs of a group report.
 func (sit *situation) groupState(viw *group.View, alc group.Allocation, grp group.Group) {
 	plc := group.Place{
