--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -54,6 +54,8 @@
 	InService func(zone string) bool
 	// Others returns what the other daemons have in progress at a backend server.
 	Others func(server string, now time.Time) loadview.Load
+	// Silent is told of an engine that is left out for a while, with what all daemons have in progress there.
+	Silent func(all loadview.Load)
 	// OthersAge returns how old that is on average.
 	OthersAge func(now time.Time) time.Duration
 }
@@ -195,6 +197,8 @@
 	}
 	// The requests that showed it end; the group is still the same.
 	plm.brd.Exclude(id, now)
+	all.Server = id
+	plm.sea.Silent(all)
 	return true
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -62,6 +62,7 @@
 		InService: func(zone string) bool { return !bch.out[zone] },
 		Others:    bch.viw.Others,
 		OthersAge: bch.viw.Age,
+		Silent:    func(loadview.Load) {},
 	}
 	cfg := placement.Config{
 		AvailabilityZone: "a",
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -112,6 +112,7 @@
 	brd *health.Board,
 	gte *coldgate.Gate,
 	clk clockwork.Clock,
+	log *zap.Logger,
 ) *placement.Placement {
 	cfg := placement.Config{
 		AvailabilityZone: set.Entry.AvailabilityZone,
@@ -123,6 +124,11 @@
 		InService: func(zone string) bool { return !inv.Zone(zone).Out },
 		Others:    viw.Others,
 		OthersAge: viw.Age,
+		Silent: func(all loadview.Load) {
+			log.Named("placement").Info("an engine sends nothing though answers are due; leaves it out for a while",
+				zap.String("server", all.Server), zap.Int("requests", all.Requests),
+				zap.Duration("quiet", all.Quiet), zap.Duration("waiting", all.Waiting))
+		},
 	}
 	return placement.New(cfg, sea, brd, gte, clk)
 }
--- a/internal/standin/emulator/site.go
+++ b/internal/standin/emulator/site.go
@@ -185,6 +185,7 @@
 		InService: func(string) bool { return true },
 		Others:    dmn.viw.Others,
 		OthersAge: dmn.viw.Age,
+		Silent:    func(loadview.Load) {},
 	}
 	if ste.pol.FreshViews {
 		sea.OthersAge = func(time.Time) time.Duration { return 0 }
