--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -34,6 +34,9 @@
 	// silence is the time without a byte after which an engine with requests in progress gets no more: several times
 	// the pause between two events of a full batch.
 	silence = 400 * time.Millisecond
+	// near is the part of the best score within which another backend server is as good, so that idle ones in other zones
+	// get some of the work.
+	near = 0.05
 	// longQuiet stands for an engine that has sent nothing for long, or never.
 	longQuiet = time.Minute
 )
@@ -366,6 +369,7 @@
 		Prefill:    serviceTime,
 		StepGrowth: serviceTime,
 		Growth:     serviceTime,
+		Near:       near,
 		Tokens:     1,
 	}
 	if eng == nil {
