Work out members, orders and others' work once

No change of behaviour is meant. A choice of a group read the work of all daemons at each candidate twice, under the view's lock; it reads it once. The steward built a map of a domain's members for each VM; it builds one of the site, for spares and hosts alike, and asks for a VM's weights once in place of once a model. Sizing sorts the VMs and models of a domain once in place of once an option. Formation forgets loads that are done in a step of its own, like heads, in place of while it counts, and once in place of twice. A request that may go anywhere says so by no bound in place of two minutes.

--- a/internal/formation/formation.go
+++ b/internal/formation/formation.go
@@ -24,13 +24,6 @@
 	stageAgain = 40 * time.Second
 )
 
-// Failed forgets an order that was not accepted, so that a load that did not begin is not waited for.
-func (frm *Formation) Failed(ord Order) {
-	if ord.Verb == Stage {
-		delete(frm.staging, ord.Server)
-	}
-}
-
 // View is what the orders follow from.
 type View struct {
 	Service     string
@@ -130,6 +123,13 @@
 	loading int
 }
 
+// Failed forgets an order that was not accepted, so that a load that did not begin is not waited for.
+func (frm *Formation) Failed(ord Order) {
+	if ord.Verb == Stage {
+		delete(frm.staging, ord.Server)
+	}
+}
+
 // Next returns the orders to give now.
 func (frm *Formation) Next(viw View, now time.Time) []Order {
 	stp := &step{
@@ -143,7 +143,8 @@
 	}
 	frm.loads = min(frm.loads+viw.LoadRate*now.Sub(frm.loadsAt).Seconds(), max(loadBurst, viw.LoadRate))
 	frm.loadsAt = now
-	stp.loading = frm.loading(viw, now)
+	frm.noteLoads(viw, now)
+	stp.loading = frm.loading(viw)
 	frm.noteHeads(viw, now)
 	members := map[string]bool{}
 	for _, alc := range viw.Allocations {
@@ -383,16 +384,22 @@
 	}
 }
 
-// loading returns the number of loads in progress: of VMs that join without weights at hand, and onto hosts. It forgets
-// those onto hosts that are done, so that weights which a host drops later are loaded again.
-func (frm *Formation) loading(viw View, now time.Time) int {
+// noteLoads forgets the loads onto hosts that are done or were perhaps lost, so that weights which a host drops later are
+// loaded again.
+func (frm *Formation) noteLoads(viw View, now time.Time) {
+	for id, stg := range frm.staging {
+		srv, ok := viw.Roster.Server(id)
+		if now.Sub(stg.at) > stageAgain || (ok && (stg.born != srv.Born || slices.Contains(srv.Staged, stg.model))) {
+			delete(frm.staging, id)
+		}
+	}
+}
+
+// loading returns the number of loads in progress: of VMs that join without weights at hand, and onto hosts.
+func (frm *Formation) loading(viw View) int {
 	num := 0
 	for _, srv := range viw.Roster.Service(viw.Service) {
-		stg, told := frm.staging[srv.ID]
-		if told && (stg.born != srv.Born || slices.Contains(srv.Staged, stg.model) || now.Sub(stg.at) > stageAgain) {
-			delete(frm.staging, srv.ID)
-			told = false
-		}
+		_, told := frm.staging[srv.ID]
 		if told || (srv.Place.State == roster.Joining && len(srv.Staged) == 0) {
 			num++
 		}
@@ -476,11 +483,6 @@
 			delete(frm.heads, plc)
 		}
 	}
-	for id, stg := range frm.staging {
-		if now.Sub(stg.at) > memory {
-			delete(frm.staging, id)
-		}
-	}
 	for plc, since := range frm.closing {
 		if now.Sub(since) > memory {
 			delete(frm.closing, plc)
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -210,11 +210,12 @@
 // runs of spare VMs for larger groups.
 func (pln *planner) form(want wanted) bool {
 	var best *domain
+	fewest := 0
 	for _, name := range sortedKeys(pln.domains) {
 		dom := pln.domains[name]
 		num := len(dom.sparesFor(want.model.Name))
-		if num >= want.model.VMsPerGroup && (best == nil || num < len(best.sparesFor(want.model.Name))) {
-			best = dom
+		if num >= want.model.VMsPerGroup && (best == nil || num < fewest) {
+			best, fewest = dom, num
 		}
 	}
 	if best == nil {
--- a/internal/loadview/view.go
+++ b/internal/loadview/view.go
@@ -298,9 +298,7 @@
 	viw.mu.Lock()
 	defer viw.mu.Unlock()
 	viw.expire(now)
-	all := Load{
-		Server: server,
-	}
+	var all Load
 	if site := viw.site(); site != nil {
 		own := viw.own[site.included][server]
 		all = site.loads[server]
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -137,15 +137,16 @@
 // forecast of the best one.
 func (plm *Placement) Choose(want Want, now time.Time) (Pick, error) {
 	srvs, back := plm.candidates(want, now)
+	works := plm.look(srvs, now)
 	// A server that failed this request, or that fails others, is better than none unless it is known to be gone.
 	sound := slices.DeleteFunc(slices.Clone(srvs), func(srv *roster.Server) bool {
-		return slices.Contains(want.Avoid, srv.ID) || !plm.brd.Usable(srv.ID, now) || (want.Service.Engine != nil && plm.silent(srv.ID, now))
+		return slices.Contains(want.Avoid, srv.ID) || !plm.brd.Usable(srv.ID, now) || (want.Service.Engine != nil && plm.silent(srv.ID, works[srv.ID], now))
 	})
 	if len(sound) == 0 && len(want.Avoid) == 0 {
 		sound = srvs
 	}
 	for len(sound) > 0 {
-		idx, forecast := plm.best(want, sound, now)
+		idx, forecast := plm.best(want, sound, works, now)
 		srv := sound[idx]
 		if plm.tooLate(&want, forecast) {
 			pck := Pick{
@@ -188,19 +189,13 @@
 // silent reports whether an engine has sent nothing to any daemon for a while although an answer is due, and leaves it out
 // then: a group that lost a member takes requests on and answers none. What one daemon finds out spares the others a
 // request each.
-func (plm *Placement) silent(id string, now time.Time) bool {
-	all := plm.sea.Others(id, now)
-	plm.mu.Lock()
-	if own, ok := plm.own[id]; ok {
-		all = all.Add(plm.load(id, own, now))
-	}
-	plm.mu.Unlock()
+func (plm *Placement) silent(id string, knn known, now time.Time) bool {
+	all := knn.others.Add(knn.own)
 	if all.Waiting <= silence || all.Quiet <= silence || now.Sub(plm.brd.LastProgress(id)) <= silence {
 		return false
 	}
 	// The requests that showed it end; the group is still the same.
 	plm.brd.Exclude(id, now)
-	all.Server = id
 	plm.sea.Silent(all)
 	return true
 }
@@ -262,7 +257,7 @@
 }
 
 // best returns the index of the backend server with the best score, and the forecast of its first token.
-func (plm *Placement) best(want Want, srvs []*roster.Server, now time.Time) (int, time.Duration) {
+func (plm *Placement) best(want Want, srvs []*roster.Server, all map[string]known, now time.Time) (int, time.Duration) {
 	mod := model(want)
 	views := make([]router.View, 0, len(srvs))
 	works := make([]admission.Work, 0, len(srvs))
@@ -270,11 +265,8 @@
 	plm.mu.Lock()
 	rtr := plm.router(want)
 	for _, srv := range srvs {
-		wrk := plm.inProgress(srv.ID, now)
-		others += wrk.Requests
-		if own, ok := plm.own[srv.ID]; ok {
-			others -= own.requests
-		}
+		wrk := all[srv.ID].work()
+		others += all[srv.ID].others.Requests
 		viw := router.View{
 			Group:      srv.ID,
 			HasAdapter: true,
@@ -328,18 +320,34 @@
 	return nil
 }
 
-// inProgress returns the work of all daemons at a backend server; the lock is held.
-func (plm *Placement) inProgress(id string, now time.Time) admission.Work {
-	oth := plm.sea.Others(id, now)
-	wrk := admission.Work{
-		Requests: oth.Requests,
-		Unread:   oth.Unread,
+// known is the work at a backend server as this daemon knows it when it chooses.
+type known struct {
+	others loadview.Load
+	own    loadview.Load
+}
+
+func (knn known) work() admission.Work {
+	return admission.Work{
+		Requests: knn.others.Requests + knn.own.Requests,
+		Unread:   knn.others.Unread + knn.own.Unread,
 	}
-	if own, ok := plm.own[id]; ok {
-		wrk.Requests += own.requests
-		wrk.Unread += own.unread
+}
+
+// look returns the work at backend servers.
+func (plm *Placement) look(srvs []*roster.Server, now time.Time) map[string]known {
+	all := make(map[string]known, len(srvs))
+	plm.mu.Lock()
+	defer plm.mu.Unlock()
+	for _, srv := range srvs {
+		knn := known{
+			others: plm.sea.Others(srv.ID, now),
+		}
+		if own, ok := plm.own[srv.ID]; ok {
+			knn.own = plm.load(srv.ID, own, now)
+		}
+		all[srv.ID] = knn
 	}
-	return wrk
+	return all
 }
 
 // router returns the router of a service and model; the lock is held.
@@ -405,13 +413,16 @@
 	own.requests++
 	own.unread += want.PromptTokens
 	left := want.PromptTokens
+	read := func() {
+		own.unread -= left
+		left = 0
+	}
 	answered := want.Service.Engine == nil
 	began = func() {
 		plm.mu.Lock()
 		defer plm.mu.Unlock()
 		answered = true
-		own.unread -= left
-		left = 0
+		read()
 	}
 	release = func() {
 		plm.mu.Lock()
@@ -419,8 +430,7 @@
 		if answered {
 			plm.stayed(&want, plm.clk.Since(now))
 		}
-		own.unread -= left
-		left = 0
+		read()
 		own.requests--
 		if own.requests == 0 && plm.own[id] == own {
 			delete(plm.own, id)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -171,18 +171,19 @@
 		PromptTokens: run.facts.PromptTokens,
 		AnswerTokens: answer,
 		Within:       run.deadline.Sub(run.rly.clk.Now()),
-		Useful:       run.useful,
+		Useful:       run.useful(),
 		Avoid:        slices.Concat(run.broke, run.refused),
 	}
 }
 
-// useful returns the forecast up to which the request is worth sending, given that of idle engines. One that has been sent
-// before goes on wherever it can.
-func (run *run) useful(alone time.Duration) time.Duration {
+// useful returns what is worth sending, as placement.Want takes it. A request that has been sent before goes on wherever it
+// can.
+func (run *run) useful() func(alone time.Duration) time.Duration {
 	if run.sends > 0 || run.route.Objective <= 0 {
-		return longestRequest
+		return nil
 	}
-	return admission.Useful(run.route.Objective, run.waited+run.rly.clk.Since(run.start), alone)
+	waited := run.waited + run.rly.clk.Since(run.start)
+	return func(alone time.Duration) time.Duration { return admission.Useful(run.route.Objective, waited, alone) }
 }
 
 // attempt sends the request to one backend server.
--- a/internal/sizing/options.go
+++ b/internal/sizing/options.go
@@ -39,18 +39,25 @@
 // filling is the making of the options of a domain.
 type filling struct {
 	mods []route.Model
-	vms  []VM
-	has  []int
-	opts []option
+	// vms are those that can serve the fewest models first, and order the models with the largest groups first.
+	vms   []VM
+	order []int
+	has   []int
+	opts  []option
 }
 
 // options returns the ways to fill a domain, the first of which leaves it as it is.
 func options(mods []route.Model, vms []VM, has []int) []option {
 	fil := &filling{
 		mods: mods,
-		vms:  vms,
+		vms:  slices.Clone(vms),
 		has:  has,
 	}
+	slices.SortStableFunc(fil.vms, func(one, two VM) int { return cmp.Compare(len(one.Holds), len(two.Holds)) })
+	for mod := range mods {
+		fil.order = append(fil.order, mod)
+	}
+	slices.SortStableFunc(fil.order, func(one, two int) int { return cmp.Compare(mods[two].VMs, mods[one].VMs) })
 	fil.add(has)
 	fil.fill(make([]int, len(mods)), 0, len(vms))
 	return fil.opts
@@ -95,13 +102,7 @@
 	pool := slices.DeleteFunc(slices.Clone(fil.vms), func(vmc VM) bool {
 		return vmc.Serves != None && vmc.Group < min(counts[vmc.Serves], fil.has[vmc.Serves])
 	})
-	slices.SortStableFunc(pool, func(one, two VM) int { return cmp.Compare(len(one.Holds), len(two.Holds)) })
-	order := make([]int, len(fil.mods))
-	for mod := range fil.mods {
-		order[mod] = mod
-	}
-	slices.SortStableFunc(order, func(one, two int) int { return cmp.Compare(fil.mods[two].VMs, fil.mods[one].VMs) })
-	for _, mod := range order {
+	for _, mod := range fil.order {
 		need := max(0, counts[mod]-fil.has[mod]) * fil.mods[mod].VMs
 		pool = slices.DeleteFunc(pool, func(vmc VM) bool {
 			if need > 0 && slices.Contains(vmc.Holds, mod) {
--- a/internal/steward/observer.go
+++ b/internal/steward/observer.go
@@ -207,16 +207,9 @@
 			VMsPerGroup: mod.VMs,
 		})
 	}
-	names, serving := sit.standing(models)
-	sit.addVMs(models, serving)
 	used := map[string]bool{}
-	for _, byModel := range names {
-		for _, list := range byModel {
-			for _, name := range list {
-				used[name+replicaSuffix] = true
-			}
-		}
-	}
+	names, serving := sit.standing(models, used)
+	sit.addVMs(serving)
 	sit.plan = sizing.New(sit.svc.Engine.Models, sit.domains)
 	for idx, counts := range sit.plan.Groups {
 		for mod, num := range counts {
@@ -234,8 +227,9 @@
 }
 
 // standing returns the names of each domain's groups by model, those that work before those that can be repaired, and the
-// VMs of the former. Groups whose members can serve another model come after others, since the last are given up first.
-func (sit *situation) standing(models map[string]int) ([]map[int][]string, map[string]sizing.VM) {
+// VMs of the former; it adds the names to used. Groups whose members can serve another model come after others, since the
+// last are given up first.
+func (sit *situation) standing(models map[string]int, used map[string]bool) ([]map[int][]string, map[string]sizing.VM) {
 	names := make([]map[int][]string, len(sit.domains))
 	serving := map[string]sizing.VM{}
 	for idx := range sit.domains {
@@ -252,6 +246,7 @@
 			}
 			pos := len(names[idx][mod])
 			names[idx][mod] = append(names[idx][mod], strings.TrimSuffix(grp.Name, replicaSuffix))
+			used[grp.Name] = true
 			if !sit.intact(grp) {
 				continue
 			}
@@ -281,7 +276,7 @@
 }
 
 // addVMs tells sizing of the VMs that can be used: the group that each works in and the weights that it has.
-func (sit *situation) addVMs(models map[string]int, serving map[string]sizing.VM) {
+func (sit *situation) addVMs(serving map[string]sizing.VM) {
 	sit.fresh = len(serving) == 0
 	for _, srv := range sit.rst.Service(sit.svc.Name) {
 		sit.fresh = sit.fresh && len(sit.holds(srv)) == 0
@@ -294,9 +289,10 @@
 		if !ok {
 			vmc.Serves = sizing.None
 		}
-		for name, mod := range models {
-			if sit.fresh || slices.Contains(sit.holds(srv), name) {
-				vmc.Holds = append(vmc.Holds, mod)
+		holds := sit.holds(srv)
+		for idx, mod := range sit.svc.Engine.Models {
+			if sit.fresh || slices.Contains(holds, mod.Name) {
+				vmc.Holds = append(vmc.Holds, idx)
 			}
 		}
 		dom := sit.domain(srv.Zone, srv.Domain)
@@ -313,9 +309,14 @@
 	return srv.Models[0]
 }
 
+// inMemory returns the model whose weights a VM holds in memory, empty if it may hold none.
+func (sit *situation) inMemory(srv *roster.Server) string {
+	return sit.obs.seen[srv.ID].memory
+}
+
 // holds returns the models whose weights a VM has at hand, in memory or on its host.
 func (sit *situation) holds(srv *roster.Server) []string {
-	memory := sit.obs.seen[srv.ID].memory
+	memory := sit.inMemory(srv)
 	if memory == "" || slices.Contains(srv.Staged, memory) {
 		return srv.Staged
 	}
--- a/internal/steward/view.go
+++ b/internal/steward/view.go
@@ -1,8 +1,6 @@
 package steward
 
 import (
-	"maps"
-
 	"github.com/cumintally/cumintally/internal/formation"
 	"github.com/cumintally/cumintally/internal/group"
 	"github.com/cumintally/cumintally/internal/roster"
@@ -63,7 +61,7 @@
 		Busy:         srv.Place.State != roster.Alone && !formation.IsStandby(srv),
 		Leaving:      srv.Draining,
 		Fencing:      srv.Place.Epoch,
-		Loaded:       sit.obs.seen[srv.ID].memory,
+		Loaded:       sit.inMemory(srv),
 		Staged:       srv.Staged,
 	}
 }
@@ -120,9 +118,10 @@
 		// The first groups load their weights themselves.
 		return sit.spare
 	}
+	members := sit.members()
 	var empty []*roster.Server
 	for _, srv := range sit.rst.Service(sit.svc.Name) {
-		if _, ok := sit.vms[srv.ID]; !ok || sit.obs.seen[srv.ID].memory != "" || sit.allocated(srv) {
+		if _, ok := sit.vms[srv.ID]; !ok || sit.inMemory(srv) != "" || members[srv.ID] != "" {
 			continue
 		}
 		switch loads := sit.loads(srv); {
@@ -150,12 +149,6 @@
 	}
 }
 
-// allocated reports whether a VM is a member of an allocated group.
-func (sit *situation) allocated(srv *roster.Server) bool {
-	alc, _ := sit.inv.Allocation(srv.Domain)
-	return memberSet(alc)[srv.ID] != ""
-}
-
 // memory returns the models whose weights VMs hold in memory, by VM.
 func (sit *situation) memory() map[string]string {
 	mods := make(map[string]string, len(sit.obs.seen))
@@ -173,16 +166,12 @@
 	if len(mods) < 2 {
 		return stages
 	}
-	held := map[string]string{}
-	for idx := range sit.domains {
-		alc, _ := sit.inv.Allocation(sit.domains[idx].Name)
-		maps.Copy(held, memberSet(alc))
-	}
+	held := sit.members()
 	for id, spare := range sit.spares() {
 		held[id] = spare.Model
 	}
 	for _, srv := range sit.rst.Service(sit.svc.Name) {
-		if memory := sit.obs.seen[srv.ID].memory; memory != "" && held[srv.ID] == "" {
+		if memory := sit.inMemory(srv); memory != "" && held[srv.ID] == "" {
 			held[srv.ID] = memory
 		}
 	}
@@ -196,12 +185,15 @@
 	return stages
 }
 
-// memberSet returns the model that each member of a domain's groups serves.
-func memberSet(alc group.Allocation) map[string]string {
+// members returns the model that each member of an allocated group serves.
+func (sit *situation) members() map[string]string {
 	members := map[string]string{}
-	for _, grp := range alc.Groups {
-		for _, mem := range grp.Members {
-			members[mem.VM] = grp.Model
+	for idx := range sit.domains {
+		alc, _ := sit.inv.Allocation(sit.domains[idx].Name)
+		for _, grp := range alc.Groups {
+			for _, mem := range grp.Members {
+				members[mem.VM] = grp.Model
+			}
 		}
 	}
 	return members
