Take a retry from the budget only after a send that may have arrived

Cause: each send after the first took a retry, also when the first had reached no backend server. The budget bounds what reaches the servers, and a send without a connection reaches none.

Ruled out: a larger share of the budget (0.8 stays; the bound holds for all daemons together), and the loop of sends (bounded by attempts plus two as before).

The new test fails on: status 503 in place of 200.

--- /dev/null
+++ b/internal/relay/retry_test.go
@@ -0,0 +1,152 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jonboulle/clockwork"
+	metrics "github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/cumintally/cumintally/internal/outlier"
+	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/quarantine"
+	"github.com/cumintally/cumintally/internal/relay"
+	"github.com/cumintally/cumintally/internal/route"
+	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/upstream"
+)
+
+// fixture is a relay with one route to a plain service, whose backend servers are chosen in a fixed order.
+type fixture struct {
+	tst *testing.T
+	// addresses are the addresses of the backend servers in the order of the choices.
+	addresses []string
+	// retriesLeft is what is left of the retry budget.
+	retriesLeft int
+	choices     int
+}
+
+func (fix *fixture) handler() http.Handler {
+	tbl := route.New(route.Config{
+		Routes: []route.Route{
+			{
+				Name:        "status",
+				Host:        "shop",
+				PathPrefix:  "/",
+				Kind:        route.Idempotent,
+				Timeout:     5 * time.Second,
+				MaxAttempts: 2,
+				Public:      true,
+				Targets: []route.Target{
+					{
+						Service: "jobs",
+						Weight:  1,
+					},
+				},
+			},
+		},
+		Services: []route.Service{
+			{
+				Name: "jobs",
+			},
+		},
+	})
+	clk := clockwork.NewRealClock()
+	pol := upstream.New((&net.Dialer{}).DialContext, clk, metrics.NewCounter())
+	fix.tst.Cleanup(func() { pol.Trim(func(string) bool { return false }) })
+	dps := relay.Dependencies{
+		Table: func() *route.Table { return tbl },
+		Choose: func(placement.Request, time.Time) (placement.Pick, error) {
+			adr := fix.addresses[min(fix.choices, len(fix.addresses)-1)]
+			fix.choices++
+			return placement.Pick{
+				Server: &serverregistry.Server{
+					ID:      adr,
+					Address: adr,
+				},
+				ResponseBegan: func() {},
+				Release:       func() {},
+			}, nil
+		},
+		Connect:       func(ctx context.Context, adr string) (*upstream.Conn, error) { return pol.Get(ctx, adr) },
+		RecordRequest: func(string, time.Time) {},
+		TakeRetry: func(string, time.Time) bool {
+			fix.retriesLeft--
+			return fix.retriesLeft >= 0
+		},
+		Quarantined:       func(quarantine.Fingerprint, time.Time) bool { return false },
+		ReportCrash:       func(quarantine.Crash, time.Time) {},
+		ReportRejection:   func(quarantine.Fingerprint, time.Time) {},
+		SinceFirstArrival: func(quarantine.Fingerprint, time.Time) time.Duration { return 0 },
+		ReportStopping:    func(*serverregistry.Server) {},
+	}
+	format := relay.HeaderFormat{
+		ParseRequest:   func(http.Header) (relay.RequestHeaders, error) { return relay.RequestHeaders{}, nil },
+		RewriteRequest: func(http.Header, relay.ForwardHeaders) {},
+		ParseResponse: func(res *http.Response) relay.ResponseHeaders {
+			return relay.ResponseHeaders{
+				Sealed: true,
+				NotRun: res.StatusCode == http.StatusServiceUnavailable,
+			}
+		},
+	}
+	return relay.New(format, dps, outlier.New(), metrics.NewRegistry(), clk, zap.NewNop())
+}
+
+// get sends one request and returns its status.
+func (fix *fixture) get() int {
+	rsp := httptest.NewRecorder()
+	req := httptest.NewRequest(http.MethodGet, "http://shop/status", nil)
+	fix.handler().ServeHTTP(rsp, req)
+	return rsp.Code
+}
+
+// unreachable returns an address at which nothing listens.
+func unreachable(tst *testing.T) string {
+	lst, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(tst, err, qt.IsNil)
+	defer lst.Close()
+	return lst.Addr().String()
+}
+
+// answering returns the address of a backend server that answers every request with a status.
+func answering(tst *testing.T, status int) string {
+	srv := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(status)
+		_, _ = io.WriteString(writer, "answer")
+	}))
+	tst.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+// Guards against a retry budget that connection failures use up: when a zone is cut off, all requests meet backend
+// servers that cannot be reached. Such a send adds no load anywhere, so that the next one is no retry.
+func TestSendWithoutConnectionTakesNoRetry(tst *testing.T) {
+	fix := &fixture{
+		tst:       tst,
+		addresses: []string{unreachable(tst), unreachable(tst), answering(tst, http.StatusOK)},
+	}
+	qt.Assert(tst, fix.get(), qt.Equals, http.StatusOK)
+	qt.Assert(tst, fix.retriesLeft, qt.Equals, 0)
+}
+
+// Guards against load beyond the retry budget: a backend server that reports a request as not run has received it, so
+// that the next send is a retry.
+func TestSendAfterRejectionTakesRetry(tst *testing.T) {
+	fix := &fixture{
+		tst:         tst,
+		addresses:   []string{answering(tst, http.StatusServiceUnavailable), answering(tst, http.StatusOK)},
+		retriesLeft: 1,
+	}
+	qt.Assert(tst, fix.get(), qt.Equals, http.StatusOK)
+	qt.Assert(tst, fix.retriesLeft, qt.Equals, 0)
+	fix.choices = 0
+	qt.Assert(tst, fix.get(), qt.Equals, http.StatusServiceUnavailable)
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -70,9 +70,10 @@
 	// waitedBefore is the time since the request was first rejected, 0 if it never was.
 	waitedBefore time.Duration
 
-	// sends counts all sends; runs counts those that a backend server may have run.
-	sends int
-	runs  int
+	// sends counts all sends, arrivals those that may have reached a backend server, and runs those that one may have run.
+	sends    int
+	arrivals int
+	runs     int
 	// failedServers holds the IDs of backend servers that may have run the request but gave no usable response: the
 	// connection broke, or the response was a server error or had a fault. decliningServers holds the IDs of those
 	// that reported the request as not run or could not be reached since the last wait.
@@ -113,7 +114,8 @@
 			run.fail(ctx, err)
 			return
 		}
-		if run.sends > 0 && !rly.deps.TakeRetry(run.service.Name, rly.clock.Now()) {
+		// A send that reached no backend server adds no load, so that the next one is no retry.
+		if run.arrivals > 0 && !rly.deps.TakeRetry(run.service.Name, rly.clock.Now()) {
 			pick.Release()
 			rly.requestMetrics.retriesOverBudget.Inc(1)
 			run.fail(ctx, errors.New("the budget of repeats is used up"))
@@ -212,6 +214,7 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		return notRun, errors.Trace(err)
 	}
+	run.arrivals++
 	if err != nil {
 		run.runs++
 		return unknown, run.recordBrokenConnection(ctx, watch, srv, err)
