Detect hanging plain servers by all daemons' calls, keep calls in their zone, retry them within the objective

A server that hangs while its health check is good was found out by each daemon for itself, and a booking that was sent cannot be repeated. Calls went to servers in other zones though those at home were idle, so that a zone that is cut off took calls of both sides with it. A status call waited 600 ms for a hanging server, with an objective of 300 ms.

Change: the check for stalled engines, on the loads that all daemons announce, covers plain servers too, after four times the mean time of a call and 400 ms at least. One more request at a plain server costs 5 ms in its score (30 before), below the 25 ms for another zone; full servers still overflow to other zones. An idempotent call is retried after 0.65 of its objective, but not before three times the mean time, so that an overload adds no retries.

Ruled out: the errors of status calls. 52 of 73 calls that got status 500 got it again from another server, so that the second send helps few; clients' own retries get through mostly.

The new tests fail on the former policy.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -29,12 +29,19 @@
 	// plainServiceTime is the expected time of a call to a plain service. Its size does not matter, since scores are
 	// only compared with each other.
 	plainServiceTime = 30 * time.Millisecond
+	// plainRequestCost is added to the score of a plain backend server for each request in flight. It is below
+	// crossZoneCost, so that calls stay in their availability zone until the servers there are nearly full: a call that
+	// is in flight to another zone when that zone is cut off may be lost for good.
+	plainRequestCost = 5 * time.Millisecond
 	// crossZoneCost is added to the score of a backend server in another availability zone: about the load difference
 	// at which the transfer between zones pays off.
 	crossZoneCost = 25 * time.Millisecond
-	// stallTimeout is the time without a byte after which an engine with requests in flight receives no more requests:
-	// several times the pause between two events of a full batch.
+	// stallTimeout is the time without a byte after which a backend server with requests in flight receives no more
+	// requests: several times the pause between two events of a full batch.
 	stallTimeout = 400 * time.Millisecond
+	// plainStallFactor replaces stallTimeout for a plain backend server whose calls take long: it counts as stalled after
+	// this multiple of their mean time.
+	plainStallFactor = 4
 	// scoreTolerance is the share of the best score by which another backend server may be worse and still be drawn, so
 	// that idle ones in other zones receive some of the requests. Requests that the view lacks widen the bound.
 	scoreTolerance = 0.05
@@ -52,14 +59,14 @@
 	ColdReserve float64
 }
 
-// Dependencies holds the functions that supply the state a choice depends on, and one that reports stalled engines.
+// Dependencies holds the functions that supply the state a choice depends on, and one that reports stalled servers.
 type Dependencies struct {
 	Registrations func() *serverregistry.View
 	// InService reports whether an availability zone may receive requests.
 	InService func(zone string) bool
 	// OthersLoad returns the load that the other daemons have in flight at a backend server.
 	OthersLoad func(server string, now time.Time) loadview.Load
-	// ReportStalled is called when a stalled engine is ejected, with the load that all daemons have in flight there.
+	// ReportStalled is called when a stalled backend server is ejected, with the load that all daemons have in flight there.
 	ReportStalled func(all loadview.Load)
 	// OthersStaleness returns the mean staleness of the load of the other daemons.
 	OthersStaleness func(now time.Time) time.Duration
@@ -91,6 +98,8 @@
 	Release       func()
 	// Forecast is the expected time to the first token, 0 for plain services.
 	Forecast time.Duration
+	// UsualTime is the mean time that requests of the same service and model are in flight, 0 if it is not known.
+	UsualTime time.Duration
 	// Candidates is the number of backend servers that were considered.
 	Candidates int
 	// ResumesIn is the time until the first paused backend server takes requests again, 0 if none is paused.
@@ -146,8 +155,13 @@
 	loads := plm.knownLoads(candidates, now)
 	// If every candidate fails requests or is stalled, all of them are tried rather than none, but only for a request
 	// that no backend server has failed yet.
+	usualTime := plm.usualTime(&request)
+	stalledAfter := stallTimeout
+	if request.Service.Engine == nil {
+		stalledAfter = max(stallTimeout, plainStallFactor*usualTime)
+	}
 	healthy := slices.DeleteFunc(slices.Clone(candidates), func(srv *serverregistry.Server) bool {
-		return slices.Contains(request.Avoid, srv.ID) || !plm.outliers.Usable(srv.ID, now) || (request.Service.Engine != nil && plm.ejectIfStalled(srv.ID, loads[srv.ID], now))
+		return slices.Contains(request.Avoid, srv.ID) || !plm.outliers.Usable(srv.ID, now) || plm.ejectIfStalled(srv.ID, loads[srv.ID], stalledAfter, now)
 	})
 	if len(healthy) == 0 && len(request.Avoid) == 0 {
 		healthy = candidates
@@ -173,6 +187,7 @@
 			ResponseBegan: began,
 			Release:       release,
 			Forecast:      forecast,
+			UsualTime:     usualTime,
 			Candidates:    len(candidates),
 		}, nil
 	}
@@ -186,20 +201,20 @@
 
 // tooLate reports whether the first token is forecast so late that the request is not worth sending.
 func (plm *Placement) tooLate(req *Request, forecast time.Duration) bool {
-	mod := requestedModel(*req)
+	mod := req.RequestedModel()
 	if req.MaxUsefulForecast == nil || mod == nil {
 		return false
 	}
 	return forecast > req.MaxUsefulForecast(admission.Forecast(req.Service.Engine, mod, admission.Load{}, req.PromptTokens))
 }
 
-// ejectIfStalled reports whether an engine is stalled, and ejects it if it is. An engine is stalled if a response has
-// been due for longer than stallTimeout and the engine has sent nothing to any daemon for that time, as does a group
-// that lost a member: it accepts requests and responds to none. The loads that all daemons announce are examined, so
-// that one stalled request suffices and not every daemon loses one of its own.
-func (plm *Placement) ejectIfStalled(id string, knl knownLoad, now time.Time) bool {
+// ejectIfStalled reports whether a backend server is stalled, and ejects it if it is. A server is stalled if a response
+// has been due for longer than timeout and the server has sent nothing to any daemon for that time, as does a group that
+// lost a member: it accepts requests and responds to none. The loads that all daemons announce are examined, so that one
+// stalled request suffices and not every daemon loses one of its own.
+func (plm *Placement) ejectIfStalled(id string, knl knownLoad, timeout time.Duration, now time.Time) bool {
 	all := knl.others.Add(knl.own)
-	if all.ResponseDueFor <= stallTimeout || all.SinceLastByte <= stallTimeout || now.Sub(plm.outliers.LastProgress(id)) <= stallTimeout {
+	if all.ResponseDueFor <= timeout || all.SinceLastByte <= timeout || now.Sub(plm.outliers.LastProgress(id)) <= timeout {
 		return false
 	}
 	// The requests that revealed the stall end while the group stays stalled; the ejection keeps new requests away.
@@ -260,14 +275,14 @@
 	if srv.Membership.State != serverregistry.Open || srv.Membership.Rank != 0 || !slices.Contains(srv.Models, req.Model) {
 		return false
 	}
-	mod := requestedModel(req)
+	mod := req.RequestedModel()
 	return mod != nil && viw.ReadyMembers(srv.Membership) >= mod.VMs && !viw.HasDrainingMember(srv.Membership)
 }
 
 // drawCandidate returns the index of the backend server that the router draws at random by the scores, and the forecast
 // of its first token.
 func (plm *Placement) drawCandidate(req Request, srvs []*serverregistry.Server, all map[string]knownLoad, now time.Time) (int, time.Duration) {
-	mod := requestedModel(req)
+	mod := req.RequestedModel()
 	views := make([]router.ReplicaView, 0, len(srvs))
 	loads := make([]admission.Load, 0, len(srvs))
 	others := 0
@@ -316,8 +331,8 @@
 	return lod
 }
 
-// requestedModel returns the model that a request asks for, nil for plain services and unknown models.
-func requestedModel(req Request) *route.Model {
+// RequestedModel returns the model that a request asks for, nil for plain services and unknown models.
+func (req *Request) RequestedModel() *route.Model {
 	if req.Service.Engine == nil {
 		return nil
 	}
@@ -384,8 +399,8 @@
 	cfg := router.Config{
 		Policy:             router.PolicyScore,
 		Prefill:            plainServiceTime,
-		StepTimePerRequest: plainServiceTime,
-		ScorePerRequest:    plainServiceTime,
+		StepTimePerRequest: plainRequestCost,
+		ScorePerRequest:    plainRequestCost,
 		ScoreTolerance:     scoreTolerance,
 		MaxScoredTokens:    1,
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -324,3 +324,73 @@
 	qt.Assert(tst, errors.Is(err, placement.ErrNoServer), qt.IsTrue)
 	qt.Assert(tst, chosen["cold"], qt.Equals, 8)
 }
+
+// plainFixture adds a plain service with one backend server in each of the availability zones a and b.
+func plainFixture() (*fixture, *route.Service) {
+	fix := newFixture()
+	for _, zone := range []string{"a", "b"} {
+		fix.apply(serverregistry.Server{
+			ID:      "job-" + zone,
+			Service: "jobs",
+			Zone:    zone,
+			Slots:   6,
+		})
+	}
+	return fix, &route.Service{
+		Name: "jobs",
+	}
+}
+
+// Guards against calls that cannot be repeated and are lost at a plain server that hangs while its health check is good:
+// one call that another daemon has waiting there ejects it. A server whose calls usually take that long is not ejected.
+func TestHangingPlainServerReceivesNoMoreCalls(tst *testing.T) {
+	for _, usual := range []time.Duration{60 * time.Millisecond, 300 * time.Millisecond} {
+		fix, svc := plainFixture()
+		choose := func() placement.Pick {
+			pck, err := fix.plm.Choose(placement.Request{
+				Service: svc,
+			}, fix.clk.Now())
+			qt.Assert(tst, err, qt.IsNil)
+			return pck
+		}
+		pck := choose()
+		fix.clk.Advance(usual)
+		pck.Release()
+		fix.viw.ReceiveAnnouncement("entry-2", loadview.Announcement{
+			Sequence: 1,
+			Loads: []loadview.Load{
+				{
+					Server:         "job-a",
+					Requests:       1,
+					SinceLastByte:  time.Minute,
+					ResponseDueFor: 500 * time.Millisecond,
+				},
+			},
+		}, fix.clk.Now())
+		want := "job-b"
+		if usual > 100*time.Millisecond {
+			want = "job-a"
+		}
+		for range 3 {
+			qt.Assert(tst, choose().Server.ID, qt.Equals, want, qt.Commentf("calls usually take %v", usual))
+		}
+	}
+}
+
+// Guards against calls that are in flight to another zone when it is cut off, though servers of the own zone have free
+// slots: calls go to another zone only when those at home are nearly full.
+func TestPlainCallsStayInTheirZone(tst *testing.T) {
+	fix, svc := plainFixture()
+	counts := map[string]int{}
+	for range 12 {
+		pck, err := fix.plm.Choose(placement.Request{
+			Service: svc,
+		}, fix.now)
+		qt.Assert(tst, err, qt.IsNil)
+		counts[pck.Server.ID]++
+		if counts["job-a"] < 5 {
+			qt.Assert(tst, counts["job-b"], qt.Equals, 0)
+		}
+	}
+	qt.Assert(tst, counts["job-b"] >= 3, qt.IsTrue, qt.Commentf("%v", counts))
+}
--- a/internal/placement/residence.go
+++ b/internal/placement/residence.go
@@ -42,6 +42,16 @@
 	rsd.observe(span)
 }
 
+// usualTime returns the mean time that requests of the same service and model are in flight, 0 if none has ended yet.
+func (plm *Placement) usualTime(req *Request) time.Duration {
+	plm.mu.Lock()
+	defer plm.mu.Unlock()
+	if rsd, ok := plm.residences[req.residenceKey()]; ok {
+		return rsd.mean
+	}
+	return 0
+}
+
 // estimateUnseen estimates the number of requests that the other daemons have sent since their last reports. It is the
 // number that they have in flight, times the staleness of the reports, divided by the mean time of a request in flight.
 // The caller holds the lock.
--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -53,6 +53,7 @@
 		return unknown, run.recordBrokenConnection(ctx, watch, srv, err)
 	}
 	res.Finish(true)
+	watch.recordProgress(run.relay.clock.Now())
 	rsp := &bufferedResponse{
 		status: res.StatusCode,
 		header: res.Header,
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -31,6 +31,9 @@
 	// retriesLeft is what is left of the retry budget.
 	retriesLeft int
 	choices     int
+	// objective is that of the route, and usualTime the mean time of calls that placement reports.
+	objective time.Duration
+	usualTime time.Duration
 }
 
 func (fix *fixture) handler() http.Handler {
@@ -42,6 +45,7 @@
 				PathPrefix:  "/",
 				Kind:        route.Idempotent,
 				Timeout:     5 * time.Second,
+				Objective:   fix.objective,
 				MaxAttempts: 2,
 				Public:      true,
 				Targets: []route.Target{
@@ -71,6 +75,7 @@
 					ID:      adr,
 					Address: adr,
 				},
+				UsualTime:     fix.usualTime,
 				ResponseBegan: func() {},
 				Release:       func() {},
 			}, nil
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -208,7 +208,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := run.watchStall(srv.ID, cancel)
+	watch := run.watchStall(pick, cancel)
 	defer watch.stop()
 	rsp, err := con.Do(ctx, run.buildCall(pick))
 	if errors.Is(err, upstream.ErrNotSent) {
