Wait for changes that are sent again before the store is read

Cause: a feeder counts changes as in flight for 0.7 s after it sent them. The feeder sees from the next frame what the copy lacks and sends it again.

Change: a daemon reads the store only when changes have been missing for 0.65 of the maximum age of a copy (1.2 s where a change must be known within 3 s). A copy that nobody confirms is still read at its read age, as before.

Ruled out: a shorter resend time, which sends every change twice over slow links.

The new test fails if the wait is zero.

--- a/internal/storesync/follower.go
+++ b/internal/storesync/follower.go
@@ -32,6 +32,9 @@
 	// watchTimeShare is the share of MaxAge for which the store holds the watch of a daemon that feeds others. The rest
 	// covers the forwarding over two hubs and the takeover by another feeding daemon.
 	watchTimeShare = 0.35
+	// gapTimeShare is the share of MaxAge for which a daemon waits after a batch that lacked changes until it reads the
+	// store. A feeder that sees from the copy's revision that a frame was lost sends the changes again within that time.
+	gapTimeShare = 0.65
 	// watchResponseTime is the part of a watch's deadline that is left for the store's response; the store holds the call
 	// for the rest.
 	watchResponseTime = 500 * time.Millisecond
@@ -74,6 +77,8 @@
 	confirmedToSelfAt time.Time
 	// confirmedByFeedAt is the latest confirmation by the store that another daemon passed on.
 	confirmedByFeedAt time.Time
+	// gapSince is when a batch first lacked changes that the copy has not received since, zero if none are missing.
+	gapSince time.Time
 	// listedAt is when the copy was last listed.
 	listedAt time.Time
 	// failingSince is when the first call failed since the store last responded, zero while it responds. recoveredAt is
@@ -191,8 +196,8 @@
 }
 
 // ApplyBatch applies changes that another daemon sent at the time sent or later. It ignores a batch that begins after
-// the revision of this copy: the missing changes are then read from the store. It also ignores a batch that arrives
-// before the first list, and one whose confirmation by the store is at least MaxAge old.
+// the revision of this copy: the missing changes are read from the store if no batch brings them in time. It also ignores
+// a batch that arrives before the first list, and one whose confirmation by the store is at least MaxAge old.
 func (fol *Follower) ApplyBatch(bat Batch, sent time.Time) {
 	if !fol.cfg.FeedsEnabled() {
 		return
@@ -205,12 +210,7 @@
 		return
 	}
 	if bat.Since > fol.revision {
-		fol.log.Info("a batch of another daemon lacks changes; reading the store",
-			zap.String("kind", bat.Kind), zap.Uint64("revision", fol.revision), zap.Uint64("since", bat.Since))
-		select {
-		case fol.gap <- struct{}{}:
-		default:
-		}
+		fol.recordGap(&bat, now)
 		return
 	}
 	objs, err := unpack(bat.Packed)
@@ -218,6 +218,7 @@
 		fol.log.Warn("cannot decode a batch of another daemon", zap.String("kind", bat.Kind), logging.Error(err))
 		return
 	}
+	fol.gapSince = time.Time{}
 	fol.advance(bat.Since, bat.Revision, objs)
 	if bat.Revision >= fol.revision {
 		fol.confirm(confirmed)
@@ -227,6 +228,25 @@
 	}
 }
 
+// recordGap records a batch that lacks changes, and makes the daemon read the store if they have been missing for too
+// long. The caller holds the lock.
+func (fol *Follower) recordGap(bat *Batch, now time.Time) {
+	if fol.gapSince.IsZero() {
+		fol.gapSince = now
+	}
+	missing := now.Sub(fol.gapSince)
+	if missing < time.Duration(float64(fol.cfg.MaxAge)*gapTimeShare) {
+		return
+	}
+	fol.log.Info("batches of other daemons lack changes; reading the store", zap.String("kind", bat.Kind),
+		zap.Uint64("revision", fol.revision), zap.Uint64("since", bat.Since), zap.Duration("missing", missing))
+	fol.gapSince = time.Time{}
+	select {
+	case fol.gap <- struct{}{}:
+	default:
+	}
+}
+
 // ChangesSince returns the changes that another daemon lacks whose copy is at revision rev, and false while this copy
 // is not current. The batch contains no changes if some are no longer kept or they are too large; the receiver then
 // reads the store.
--- a/internal/storesync/follower_test.go
+++ b/internal/storesync/follower_test.go
@@ -419,3 +419,48 @@
 		qt.Assert(tst, clk.Since(last) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", clk.Since(last)))
 	}
 }
+
+// TestResentChangesCostNoCall guards against calls to the store for changes that are only late: a frame to a daemon is
+// lost, the next batch begins after its changes, and the feeder sends them again some time later. Only changes that stay
+// away are read from the store, well within the time in which a change must be known.
+func TestResentChangesCostNoCall(tst *testing.T) {
+	for _, resent := range []bool{true, false} {
+		reg := newRegistry()
+		clk := clockwork.NewFakeClock()
+		one, _ := started(tst, reg, clk)
+		two, cop := started(tst, reg, clk)
+		eventually(tst, func() bool { return reg.watchesMade() == 2 })
+		feed(tst, clk, one, two)
+		reg.put("s0")
+		eventually(tst, func() bool { return one.Revision() == 2 && two.Revision() == 2 })
+		feed(tst, clk, one, two)
+		reg.put("s1")
+		eventually(tst, func() bool { return one.Revision() == 3 })
+		before := reg.watchesMade()
+		lost := storesync.Batch{
+			Kind:     kind,
+			Since:    3,
+			Revision: 3,
+		}
+		missing := clk.Now()
+		for clk.Since(missing) < maxAge/2 {
+			two.ApplyBatch(lost, clk.Now())
+			clk.Advance(maxAge / 20)
+			time.Sleep(2 * time.Millisecond)
+		}
+		qt.Assert(tst, cop.version("s1"), qt.Equals, uint64(0))
+		if resent {
+			feed(tst, clk, one, two)
+			qt.Assert(tst, cop.version("s1"), qt.Equals, uint64(3))
+		}
+		for clk.Since(missing) < maxAge*3/4 {
+			two.ApplyBatch(lost, clk.Now())
+			clk.Advance(maxAge / 20)
+			time.Sleep(2 * time.Millisecond)
+		}
+		eventually(tst, func() bool { return cop.version("s1") == 3 })
+		if resent {
+			qt.Check(tst, reg.watchesMade()-before <= 1, qt.IsTrue, qt.Commentf("%d calls", reg.watchesMade()-before))
+		}
+	}
+}
