Deliver the last replies to peers before a stopping daemon closes its connections

Cause, of TestStopInterruptsNoRequest among the known failures: a stopping daemon closed its peer connections as soon as its requests were done, while the final reply of a forwarded stream was not written yet, or was written and not read. The daemon that had forwarded the request took the connection for broken and resumed a stream that was complete. That daemon also dropped replies that it had received, where the end of the connection was seen first.

Change: closing waits until the replies to incoming calls are written and the peer has answered the close frame, which it does once it has read all frames before; half a second at most, since a peer may be gone. Replies received before the connection broke still count.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -126,6 +126,31 @@
 	return nil
 }
 
+// closeAfterReplies waits until the replies to all incoming calls have been written and the peer has read them, until ctx
+// ends at the latest, and closes the connection.
+func (lnk *link) closeAfterReplies(ctx context.Context) {
+	for lnk.servesCalls() && ctx.Err() == nil {
+		time.Sleep(servedCheckInterval)
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		// The peer answers the close frame once it has read all frames before it.
+		_ = lnk.conn.Close(websocket.StatusGoingAway, "")
+	}()
+	select {
+	case <-closed:
+	case <-ctx.Done():
+	}
+	lnk.close(ErrUnreachable)
+}
+
+func (lnk *link) servesCalls() bool {
+	lnk.mu.Lock()
+	defer lnk.mu.Unlock()
+	return len(lnk.serving) > 0
+}
+
 func (lnk *link) writeValue(ctx context.Context, val any) error {
 	data, err := cbor.Marshal(val)
 	if err != nil {
@@ -210,6 +235,10 @@
 			lnk.cancelRemote(idn)
 			return errors.Annotate(ErrBroken, ctx.Err().Error())
 		case <-lnk.done:
+			if len(rep) > 0 {
+				// These replies arrived before the connection broke.
+				continue
+			}
 			return errors.Annotatef(ErrBroken, "%v", lnk.closeError())
 		}
 	}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -20,6 +20,13 @@
 // connection open without authenticating. It also bounds the write of a frame.
 const linkTimeout = 3 * time.Second
 
+const (
+	// closeTimeout bounds the closing of all connections of a daemon that stops, whose peers may not respond.
+	closeTimeout = 500 * time.Millisecond
+	// servedCheckInterval is the time between two checks whether all replies have been written.
+	servedCheckInterval = 2 * time.Millisecond
+)
+
 // Handler serves one call of a peer and returns the body of the reply.
 type Handler func(ctx context.Context, from Identity, body []byte) (any, error)
 
@@ -244,7 +251,8 @@
 	msh.serveLink(lnk)
 }
 
-// Close closes all authenticated connections. Later calls fail.
+// Close closes all authenticated connections, once the replies to calls in progress have been sent or closeTimeout has
+// passed. Later calls fail.
 func (msh *Mesh) Close() {
 	msh.mu.Lock()
 	msh.closed = true
@@ -253,9 +261,13 @@
 		lnks = append(lnks, lnk)
 	}
 	msh.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	var wgr sync.WaitGroup
 	for _, lnk := range lnks {
-		lnk.close(ErrUnreachable)
+		wgr.Go(func() { lnk.closeAfterReplies(ctx) })
 	}
+	wgr.Wait()
 }
 
 // handleCall runs the handler for a call. It returns the body of a unary call, which is sent with the final
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -163,3 +163,41 @@
 	}()
 	return lst.Addr().String(), func() { stopped.Store(true) }
 }
+
+// TestCloseDeliversReplies guards against a planned stop that loses the last replies of a streamed call: they were written,
+// or were about to be, when the daemon closed its connections.
+func TestCloseDeliversReplies(t *testing.T) {
+	const replies = 500
+	for range 20 {
+		c := qt.New(t)
+		msh := newMesh(t, "server", "key")
+		sent := make(chan struct{})
+		msh.HandleStream("Many", func(_ context.Context, _ peer.Identity, _ []byte, send func(any) error) error {
+			defer close(sent)
+			for range replies {
+				if err := send(echo{Text: "reply"}); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		srv := httptest.NewServer(msh)
+		cli := newMesh(t, "client", "key")
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		got := 0
+		result := make(chan error, 1)
+		go func() {
+			result <- cli.Stream(ctx, strings.TrimPrefix(srv.URL, "http://"), "Many", nil, func([]byte) error {
+				got++
+				return nil
+			})
+		}()
+		<-sent
+		msh.Close()
+		c.Assert(<-result, qt.IsNil)
+		c.Assert(got, qt.Equals, replies)
+		cancel()
+		cli.Close()
+		srv.Close()
+	}
+}
