Serve from the first list after a restart in place of waiting for a feed

Change: only on the first start of a site, when no caller waits yet, daemons start from such lists. Later a daemon lists the store as it is, serves at once, and then waits for its read age to be fed before it watches by itself. A withdrawn key stays out as before: the list is the store's confirmation.

--- a/internal/site/storecache.go
+++ b/internal/site/storecache.go
@@ -119,11 +119,12 @@
 	}
 	stc.hubRank.Store(-1)
 	otherDelay := func() time.Duration { return otherBatchDelay }
-	// On the start of a site the hubs feed all other daemons, which can serve from then on.
-	isFed := func() bool { return stc.hasHubs() && !stc.startsAsHub() }
-	stc.addFollower(platform.KindServer, stc.serverChangeDelay, isFed, stc.applyServers)
-	stc.addFollower(platform.KindConfig, otherDelay, isFed, stc.applyConfig)
-	stc.addFollower(platform.KindEvacuation, otherDelay, isFed, stc.applyEvacuations)
+	// On the first start of a site there is time until the hubs feed all other daemons, which then need only a cheap list
+	// that may be stale. Callers wait for a daemon that starts again, which serves as soon as it has listed.
+	startsStale := func() bool { return set.Site.FirstStart && stc.isFedFromStart() }
+	stc.addFollower(platform.KindServer, stc.serverChangeDelay, startsStale, stc.applyServers)
+	stc.addFollower(platform.KindConfig, otherDelay, startsStale, stc.applyConfig)
+	stc.addFollower(platform.KindEvacuation, otherDelay, startsStale, stc.applyEvacuations)
 	// A stale list lacks the daemons that start for the first time, and then no daemon feeds them.
 	isRestart := func() bool { return !set.Site.FirstStart }
 	stc.addFollower(objects.KindDaemon, func() time.Duration { return daemonBatchDelay }, isRestart, stc.applyDaemons)
@@ -143,6 +144,7 @@
 		FeedsEnabled: stc.hasHubs,
 		ReadAge:      stc.readAge,
 		AllowStale:   allowStale,
+		ExpectsFeed:  stc.isFedFromStart,
 	}
 	stc.followers[kind] = storesync.New(cfg, stc.pst, apply, stc.clk, stc.log)
 }
@@ -259,12 +261,17 @@
 // fedListDelay returns the delay before the other kinds are listed. On the first start of a site, a daemon that others
 // feed lists them later: by then the hubs are up to date, and a stale list already holds most objects.
 func (stc *storeCache) fedListDelay() time.Duration {
-	if !stc.set.Site.FirstStart || !stc.hasHubs() || stc.startsAsHub() {
+	if !stc.set.Site.FirstStart || !stc.isFedFromStart() {
 		return 0
 	}
 	return hubSyncTime
 }
 
+// isFedFromStart reports whether a hub feeds this daemon from its start, as long as no other daemon counts as lost.
+func (stc *storeCache) isFedFromStart() bool {
+	return stc.hasHubs() && !stc.startsAsHub()
+}
+
 // startsAsHub reports whether this daemon is a hub as long as no other daemon counts as lost.
 func (stc *storeCache) startsAsHub() bool {
 	return hub.New(stc.set.Entry.Name, stc.set.Entry.AvailabilityZone, stc.clk).Plan(stc.registeredDaemons()).IsHub
--- a/internal/storesync/follower.go
+++ b/internal/storesync/follower.go
@@ -55,6 +55,9 @@
 	// AllowStale reports whether the first list may be seconds old; updates of other daemons or a watch bring the missing
 	// changes.
 	AllowStale func() bool
+	// ExpectsFeed reports whether another daemon is expected to feed this one from its start, so that after a list it
+	// waits for ReadAge before it calls the store again.
+	ExpectsFeed func() bool
 }
 
 // Follower follows one kind. Its methods are safe for concurrent use.
@@ -75,7 +78,8 @@
 	// this one.
 	confirmedAt       time.Time
 	confirmedToSelfAt time.Time
-	// confirmedByFeedAt is the latest confirmation by the store that another daemon passed on.
+	// confirmedByFeedAt is the latest confirmation by the store that another daemon passed on, or the list after which this
+	// daemon expects to be fed.
 	confirmedByFeedAt time.Time
 	// gapSince is when a batch first lacked changes that the copy has not received since, zero if none are missing.
 	gapSince time.Time
@@ -284,8 +288,12 @@
 		revision: rev,
 	})
 	fol.listedAt = fol.clk.Now()
-	if !stale {
-		fol.confirmToSelf()
+	if stale {
+		return
+	}
+	fol.confirmToSelf()
+	if fol.cfg.ExpectsFeed() {
+		fol.confirmedByFeedAt = fol.confirmedAt
 	}
 }
 
--- a/internal/storesync/follower_test.go
+++ b/internal/storesync/follower_test.go
@@ -167,7 +167,8 @@
 			}
 			return maxAge
 		},
-		AllowStale: cop.allowStale.Load,
+		AllowStale:  cop.allowStale.Load,
+		ExpectsFeed: func() bool { return false },
 	}
 	fol := storesync.New(cfg, reg.store(), cop.apply, clk, zap.NewNop())
 	ctx, cancel := context.WithCancel(tst.Context())
@@ -401,6 +402,7 @@
 		FeedsEnabled: func() bool { return false },
 		ReadAge:      func() time.Duration { return 0 },
 		AllowStale:   func() bool { return false },
+		ExpectsFeed:  func() bool { return false },
 	}, objects.Store{
 		List:      list,
 		ListStale: list,
