Divide the VMs among models by the work that callers ask for

Cause: the numbers of groups followed the shares of the configuration, which hold for the start. On the shifted site both models have a share of 0.5, while the smaller one keeps 44 VMs busy and the larger one 22 by the measured work. With a zone out of service, or in a burst, the smaller model was overloaded and rejected requests while groups of the larger one idled.

Change: each daemon measures the work that arrives, by model, in VMs that it keeps busy (package demand); announcements and the sums of hubs carry it, and the holder of the lease plans by it. A model gets VMs for its busy groups and twice their square root; the initial shares decide while little is measured.

Daemons of the former version do not decode the new announcements, so that loads are not exchanged between the two versions while a site is upgraded.

The new test of sizing fails on the former policy, which plans by the initial shares alone.

--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -33,6 +33,14 @@
 	return whole / time.Duration(slots)
 }
 
+// Work returns the VM seconds that a request takes at a group whose batch is full.
+func Work(engine *route.Engine, model *route.Model, promptTokens, outputTokens int) float64 {
+	slots := max(1, engine.Slots)
+	step := scaleToModel(model, engine.BaseStepTime+time.Duration(slots)*engine.StepTimePerRequest)
+	whole := time.Duration(outputTokens)*step/time.Duration(slots) + prefillTime(engine, model, promptTokens)
+	return whole.Seconds() * float64(model.VMs)
+}
+
 func prefillTime(eng *route.Engine, mod *route.Model, tokens int) time.Duration {
 	if eng.PrefillRate <= 0 {
 		return 0
--- a/internal/loadview/view.go
+++ b/internal/loadview/view.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cumintally/cumintally/internal/demand"
 )
 
 const (
@@ -64,15 +66,18 @@
 	Instance uint64
 	Sequence uint64
 	Loads    []Load
+	// Demand is the work that callers ask of each model at the daemon.
+	Demand []demand.Rate
 }
 
-// Sum is the load that several daemons have in flight.
+// Sum is the load that several daemons have in flight, and the work that their callers ask for.
 type Sum struct {
 	_ struct{} `cbor:",toarray"`
 
 	// Daemons is the number of daemons that the sum covers.
 	Daemons int
 	Loads   []Load
+	Demand  []demand.Rate
 }
 
 // View holds the loads that the other daemons announced.
@@ -93,6 +98,7 @@
 	sequence   uint64
 	receivedAt time.Time
 	loads      map[string]Load
+	demand     []demand.Rate
 }
 
 // loadSum is a sum received from a hub.
@@ -100,6 +106,7 @@
 	receivedAt time.Time
 	daemons    int
 	loads      map[string]Load
+	demand     []demand.Rate
 	// included is the sequence of this daemon's own announcement that is part of the sum.
 	included uint64
 }
@@ -144,6 +151,7 @@
 		sequence:   announcement.Sequence,
 		receivedAt: now,
 		loads:      byServer(announcement.Loads),
+		demand:     announcement.Demand,
 	}
 }
 
@@ -172,6 +180,7 @@
 		receivedAt: now,
 		daemons:    sum.Daemons,
 		loads:      byServer(sum.Loads),
+		demand:     sum.Demand,
 	}
 }
 
@@ -185,26 +194,27 @@
 	return 0
 }
 
-// ZoneSum returns the load of the daemons of this availability zone: the given own load and the announced loads.
-func (viw *View) ZoneSum(own []Load, now time.Time) Sum {
+// ZoneSum returns the sum of this daemon's own announcement and those of the other daemons of its availability zone.
+func (viw *View) ZoneSum(own Announcement, now time.Time) Sum {
 	viw.mu.Lock()
 	defer viw.mu.Unlock()
 	viw.expire(now)
-	return viw.sumLoads(own, false)
+	return viw.sum(own, false)
 }
 
-// SiteSum returns the load of all daemons that this one knows of, including the given own load.
-func (viw *View) SiteSum(own []Load, now time.Time) Sum {
+// SiteSum returns the sum of this daemon's own announcement and those of all daemons that it knows of.
+func (viw *View) SiteSum(own Announcement, now time.Time) Sum {
 	viw.mu.Lock()
 	defer viw.mu.Unlock()
 	viw.expire(now)
-	return viw.sumLoads(own, true)
+	return viw.sum(own, true)
 }
 
-// sumLoads sums up the own load, the announced loads and, if others is set, those of other zones. The caller holds the
+// sum adds up the own announcement, those received and, if others is set, the sums of other zones. The caller holds the
 // lock.
-func (viw *View) sumLoads(own []Load, others bool) Sum {
-	all := byServer(own)
+func (viw *View) sum(own Announcement, others bool) Sum {
+	all := byServer(own.Loads)
+	demands := [][]demand.Rate{own.Demand}
 	merge := func(loads map[string]Load) {
 		for id, lod := range loads {
 			all[id] = all[id].Add(lod)
@@ -215,11 +225,13 @@
 	}
 	for _, dml := range viw.daemons {
 		merge(dml.loads)
+		demands = append(demands, dml.demand)
 	}
 	if others {
 		for zone := range viw.zoneSums {
 			if best := broadestSum(viw.zoneSums[zone]); best != nil {
 				merge(best.loads)
+				demands = append(demands, best.demand)
 				total.Daemons += best.daemons
 			}
 		}
@@ -228,9 +240,25 @@
 	for _, lod := range all {
 		total.Loads = append(total.Loads, lod)
 	}
+	total.Demand = demand.Sum(demands...)
 	return total
 }
 
+// SiteDemand returns the work that callers ask for at all daemons, given that at this one, from the source that covers
+// the most daemons.
+func (viw *View) SiteDemand(own []demand.Rate, now time.Time) []demand.Rate {
+	viw.mu.Lock()
+	defer viw.mu.Unlock()
+	viw.expire(now)
+	if site := viw.siteSum(); site != nil {
+		return site.demand
+	}
+	announcement := Announcement{
+		Demand: own,
+	}
+	return viw.sum(announcement, true).Demand
+}
+
 // broadestSum returns the sum that covers the most daemons, the latest of several such, or nil if there is none.
 func broadestSum(sums map[string]*loadSum) *loadSum {
 	var best *loadSum
--- a/internal/loadview/view_test.go
+++ b/internal/loadview/view_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cumintally/cumintally/internal/demand"
 	"github.com/cumintally/cumintally/internal/loadview"
 )
 
@@ -60,10 +61,10 @@
 			Loads:   announcement(0, 0, 7).Loads,
 		}, now)
 	}
-	all := hub.SiteSum(announcement(0, 0, 1).Loads, now)
+	all := hub.SiteSum(announcement(0, 0, 1), now)
 	qt.Assert(tst, all.Daemons, qt.Equals, 5)
 	qt.Assert(tst, all.Loads[0].Requests, qt.Equals, 1+2+5+7)
-	qt.Assert(tst, hub.ZoneSum(nil, now).Loads[0].Requests, qt.Equals, 2+5)
+	qt.Assert(tst, hub.ZoneSum(loadview.Announcement{}, now).Loads[0].Requests, qt.Equals, 2+5)
 	qt.Assert(tst, hub.OthersLoad("vm-1", now).Requests, qt.Equals, 2+5+7)
 
 	// The hub has the first announcement of the member, which has since sent another one.
@@ -102,3 +103,37 @@
 	}, 1, now.Add(200*time.Millisecond))
 	qt.Assert(tst, viw.Staleness(now.Add(250*time.Millisecond)), qt.Equals, 50*time.Millisecond+loadview.Interval(80))
 }
+
+func rates(vms float64) []demand.Rate {
+	return []demand.Rate{
+		{
+			Service: "engines",
+			Model:   "large",
+			VMs:     vms,
+		},
+	}
+}
+
+// Guards against a plan of the groups by the requests of one zone or one daemon: both a hub and a member of its zone must
+// know the demand of the whole site, and each daemon must count once.
+func TestDemandOfTheSiteAddsUp(tst *testing.T) {
+	now := time.Unix(1000, 0)
+	hub, member := loadview.New(), loadview.New()
+	hub.ReceiveAnnouncement("member", loadview.Announcement{
+		Sequence: 1,
+		Demand:   rates(2),
+	}, now)
+	for _, name := range []string{"abroad-1", "abroad-2"} {
+		hub.ReceiveZoneSum(name, "zone-b", loadview.Sum{
+			Daemons: 3,
+			Demand:  rates(4),
+		}, now)
+	}
+	qt.Assert(tst, hub.SiteDemand(rates(1), now), qt.DeepEquals, rates(7))
+	own := loadview.Announcement{
+		Demand: rates(1),
+	}
+	member.ReceiveSiteSum("hub", hub.SiteSum(own, now), 1, now)
+	qt.Assert(tst, member.SiteDemand(rates(2), now), qt.DeepEquals, rates(7))
+	qt.Assert(tst, member.SiteDemand(rates(2), now.Add(2*time.Second)), qt.DeepEquals, rates(2))
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -87,6 +87,8 @@
 	// whether one was left.
 	RecordRequest func(service string, now time.Time)
 	TakeRetry     func(service string, now time.Time) bool
+	// RecordDemand records the work of a request that arrived for the first time, whether or not it will be served.
+	RecordDemand func(request placement.Request, now time.Time)
 	// Quarantined reports whether a request must not run; ReportCrash records that a connection broke while it ran.
 	Quarantined func(fingerprint quarantine.Fingerprint, now time.Time) bool
 	ReportCrash func(crash quarantine.Crash, now time.Time)
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -82,6 +82,7 @@
 		},
 		Connect:       func(ctx context.Context, adr string) (*upstream.Conn, error) { return pol.Get(ctx, adr) },
 		RecordRequest: func(string, time.Time) {},
+		RecordDemand:  func(placement.Request, time.Time) {},
 		TakeRetry: func(string, time.Time) bool {
 			fix.retriesLeft--
 			return fix.retriesLeft >= 0
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -100,6 +100,9 @@
 	rly := run.relay
 	rly.requestMetrics.requests.Inc(1)
 	rly.deps.RecordRequest(run.service.Name, run.startedAt)
+	if run.waitedBefore == 0 {
+		rly.deps.RecordDemand(run.placementRequest(), run.startedAt)
+	}
 	if rly.deps.Quarantined(run.fingerprint, run.startedAt) {
 		run.reject(refusal.Unavailable("the request crashed backend servers and is quarantined", quarantine.Period))
 		return
--- a/internal/site/gossip.go
+++ b/internal/site/gossip.go
@@ -14,6 +14,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/demand"
 	"github.com/cumintally/cumintally/internal/hub"
 	"github.com/cumintally/cumintally/internal/lease"
 	"github.com/cumintally/cumintally/internal/loadview"
@@ -82,6 +83,7 @@
 	msh *peer.Mesh
 	viw *loadview.View
 	plm *placement.Placement
+	mtr *demand.Meter
 	qua *quarantine.Quarantine
 	rej *rejections.Tracker
 	sel *hub.Selector
@@ -129,6 +131,7 @@
 	msh *peer.Mesh,
 	viw *loadview.View,
 	plm *placement.Placement,
+	mtr *demand.Meter,
 	qua *quarantine.Quarantine,
 	rej *rejections.Tracker,
 	les *lease.Lease,
@@ -143,6 +146,7 @@
 		msh:      msh,
 		viw:      viw,
 		plm:      plm,
+		mtr:      mtr,
 		qua:      qua,
 		rej:      rej,
 		sel:      hub.New(set.Entry.Name, set.Entry.AvailabilityZone, clk),
@@ -239,13 +243,13 @@
 		switch rcp.Relation {
 		case hub.RemoteHub:
 			if zone == nil {
-				sum := gsp.viw.ZoneSum(msg.Load.Loads, gsp.clk.Now())
+				sum := gsp.viw.ZoneSum(msg.Load, gsp.clk.Now())
 				zone = &sum
 			}
 			own.ZoneLoad = zone
 		case hub.Member:
 			if site == nil {
-				sum := gsp.viw.SiteSum(msg.Load.Loads, gsp.clk.Now())
+				sum := gsp.viw.SiteSum(msg.Load, gsp.clk.Now())
 				site = &sum
 			}
 			own.SiteLoad = site
@@ -276,6 +280,7 @@
 			Instance: gsp.instance,
 			Sequence: sequence,
 			Loads:    gsp.plm.Loads(),
+			Demand:   gsp.mtr.Rates(gsp.clk.Now()),
 		},
 	}
 	msg.Rejections = gsp.rej.TakeUnsent()
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -12,9 +12,11 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/cumintally/cumintally/internal/admission"
 	"github.com/cumintally/cumintally/internal/allocationwriter"
 	"github.com/cumintally/cumintally/internal/bootclock"
 	"github.com/cumintally/cumintally/internal/coldlimit"
+	"github.com/cumintally/cumintally/internal/demand"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/lease"
 	"github.com/cumintally/cumintally/internal/loadview"
@@ -48,6 +50,7 @@
 	newColdLimiter,
 	newBudget,
 	loadview.New,
+	demand.New,
 	newMesh,
 	newGossip,
 	newPlacement,
@@ -143,6 +146,7 @@
 	qua *quarantine.Quarantine,
 	rej *rejections.Tracker,
 	gsp *gossip,
+	mtr *demand.Meter,
 	trk *outlier.Tracker,
 	met metrics.Registry,
 	clk clockwork.Clock,
@@ -154,6 +158,12 @@
 		Connect:       pol.Get,
 		RecordRequest: bud.RecordRequest,
 		TakeRetry:     bud.TakeRetry,
+		RecordDemand: func(req placement.Request, now time.Time) {
+			if mod := req.RequestedModel(); mod != nil {
+				work := admission.Work(req.Service.Engine, mod, req.PromptTokens, req.ExpectedTokens)
+				mtr.Record(req.Service.Name, mod.Name, work, now)
+			}
+		},
 		Quarantined: func(fpr quarantine.Fingerprint, now time.Time) bool {
 			return qua.CrashCount(fpr, now) >= crashesToQuarantine
 		},
@@ -187,6 +197,8 @@
 	pol *upstream.Pool,
 	rly *relay.Relay,
 	gsp *gossip,
+	mtr *demand.Meter,
+	viw *loadview.View,
 	les *lease.Lease,
 	inv *inventory.Inventory,
 	wrt *allocationwriter.Writer,
@@ -197,10 +209,20 @@
 		StallTime: set.Site.StallTime,
 	}
 	dps := sitecontrol.Dependencies{
-		Table:              stc.activeTable,
-		Registrations:      func() *serverregistry.View { return stc.registry.View() },
-		ChecksLeaseOften:   stc.isLeaseCandidate,
-		CurrentFor:         stc.currentFor,
+		Table:            stc.activeTable,
+		Registrations:    func() *serverregistry.View { return stc.registry.View() },
+		ChecksLeaseOften: stc.isLeaseCandidate,
+		CurrentFor:       stc.currentFor,
+		Demand: func(service string) map[string]float64 {
+			now := clk.Now()
+			dem := map[string]float64{}
+			for _, rat := range viw.SiteDemand(mtr.Rates(now), now) {
+				if rat.Service == service {
+					dem[rat.Model] = rat.VMs
+				}
+			}
+			return dem
+		},
 		BeforeFirstRequest: func() bool { return set.Site.FirstStart && !rly.HasServedRequests() },
 		SendOrder: func(ctx context.Context, ord orderplan.Order, fence uint64) error {
 			ver, err := sendOrder(ctx, pol, ord, fence)
--- a/internal/sitecontrol/controller.go
+++ b/internal/sitecontrol/controller.go
@@ -58,6 +58,8 @@
 	ChecksLeaseOften func() bool
 	// CurrentFor reports whether the daemon's copies of the store have been current for at least span.
 	CurrentFor func(span time.Duration) bool
+	// Demand returns the work that callers ask of each model of a service, in VMs that it keeps busy.
+	Demand func(service string) map[string]float64
 	// BeforeFirstRequest reports whether the site has just started and received no request yet. Loads of weights then
 	// slow nothing down: loads for groups are not limited, and prefetches have the wide limit startupPrefetchLimit.
 	BeforeFirstRequest func() bool
@@ -181,7 +183,7 @@
 func (ctr *Controller) controlService(ctx context.Context, svc *route.Service) {
 	now := ctr.clk.Now()
 	reg := ctr.deps.Registrations()
-	sit := ctr.obs.observe(svc, reg, ctr.inv, now, ctr.deps.CurrentFor)
+	sit := ctr.obs.observe(svc, reg, ctr.inv, ctr.deps.Demand(svc.Name), now, ctr.deps.CurrentFor)
 	if sit.mayPlan() {
 		ctr.writePlan(ctx, sit)
 	}
--- a/internal/sitecontrol/controller_test.go
+++ b/internal/sitecontrol/controller_test.go
@@ -219,6 +219,7 @@
 		Registrations:      har.reg.View,
 		CurrentFor:         func(time.Duration) bool { return har.storeCurrent },
 		ChecksLeaseOften:   func() bool { return true },
+		Demand:             func(string) map[string]float64 { return nil },
 		BeforeFirstRequest: func() bool { return false },
 		SendOrder:          har.execute,
 	}
--- a/internal/sitecontrol/observer.go
+++ b/internal/sitecontrol/observer.go
@@ -116,6 +116,8 @@
 	domainIndex map[string]int
 	// missingIsLost is set if a missing registration means that the VM is lost.
 	missingIsLost bool
+	// demand holds the measured work by model, in VMs that it keeps busy.
+	demand map[string]float64
 	// stillRegistering is set if a VM registered for the first time within startupSettleTime.
 	stillRegistering bool
 	// plan is the number of groups that each domain should run; vmIndex holds the index of each VM in its domain.
@@ -139,12 +141,14 @@
 	}
 }
 
-// observe records the registrations of a service and returns the state to plan from. currentFor reports whether the
-// daemon's copies of the store have been current for a time span.
+// observe records the registrations of a service and returns the state to plan from. The parameter demand holds the
+// measured work by model, in VMs that it keeps busy. currentFor reports whether the daemon's copies of the store have
+// been current for a time span.
 func (obs *observer) observe(
 	svc *route.Service,
 	reg *serverregistry.View,
 	inv *inventory.Inventory,
+	demand map[string]float64,
 	now time.Time,
 	currentFor func(time.Duration) bool,
 ) *siteState {
@@ -152,6 +156,7 @@
 		svc:           svc,
 		reg:           reg,
 		inv:           inv,
+		demand:        demand,
 		obs:           obs,
 		now:           now,
 		domainIndex:   map[string]int{},
@@ -217,7 +222,8 @@
 	used := map[string]bool{}
 	names, serving := sit.existingGroups(models, used)
 	sit.addUsableVMs(serving)
-	sit.plan = sizing.New(sit.svc.Engine.Models, sit.domains)
+	mods := sit.svc.Engine.Models
+	sit.plan = sizing.New(mods, sizing.Shares(mods, sit.demand, len(sit.vmIndex)), sit.domains)
 	for idx, counts := range sit.plan.Groups {
 		for mod, num := range counts {
 			for pos := range num {
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -1,6 +1,10 @@
 package sizing
 
-import "github.com/cumintally/cumintally/internal/route"
+import (
+	"math"
+
+	"github.com/cumintally/cumintally/internal/route"
+)
 
 const (
 	// unservedGroupFraction is the fraction of a group that a model without groups counts as having. It makes the cost of
@@ -11,6 +15,13 @@
 	concentrationWeight = 1e-4
 	// minGain is the smallest cost reduction that is not a rounding error.
 	minGain = 1e-9
+	// initialWeight is the weight of the models' initial shares relative to measured work that keeps all VMs busy. It
+	// decides while little work has been measured.
+	initialWeight = 0.05
+	// headroomFactor is the headroom of a model in groups, relative to the square root of the groups that its work keeps
+	// busy (square-root staffing): a model with few groups needs relatively more, since its load varies more and each
+	// lost group is a larger part.
+	headroomFactor = 2
 )
 
 // NoModel is the model index of a VM that serves no model.
@@ -45,7 +56,9 @@
 
 // sizer improves the choices of all domains step by step.
 type sizer struct {
-	mods     []route.Model
+	mods []route.Model
+	// shares holds each model's share of the work.
+	shares   []float64
 	doms     []*domainChoice
 	totalVMs int
 	// capacity is the sum of the chosen options' capacity by model.
@@ -65,13 +78,40 @@
 	choiceIndex []int
 }
 
-// New returns the plan for domains. It starts from the running groups and changes one domain at a time while that
-// lowers the cost.
-func New(mods []route.Model, doms []Domain) *Plan {
+// Shares returns the share of the VMs that each model needs. The parameter demand holds the measured work by model, in
+// VMs that it keeps busy, of a site of totalVMs.
+func Shares(mods []route.Model, demand map[string]float64, totalVMs int) []float64 {
+	initial := 0.0
+	for idx := range mods {
+		initial += mods[idx].InitialShare
+	}
+	shares := make([]float64, len(mods))
+	total := 0.0
+	for idx := range mods {
+		size := float64(max(1, mods[idx].VMs))
+		busyGroups := demand[mods[idx].Name] / size
+		shares[idx] = size * (busyGroups + headroomFactor*math.Sqrt(busyGroups))
+		if initial > 0 {
+			shares[idx] += initialWeight * float64(totalVMs) * mods[idx].InitialShare / initial
+		}
+		total += shares[idx]
+	}
+	for idx := range shares {
+		if total > 0 {
+			shares[idx] /= total
+		}
+	}
+	return shares
+}
+
+// New returns the plan for domains, given each model's share of the work. It starts from the running groups and changes
+// one domain at a time while that lowers the cost.
+func New(mods []route.Model, shares []float64, doms []Domain) *Plan {
 	pln := &Plan{
 		doms: doms,
 		szr: &sizer{
 			mods:         mods,
+			shares:       shares,
 			capacity:     make([]float64, len(mods)),
 			groupsByZone: map[string][]int{},
 		},
@@ -200,7 +240,7 @@
 func (szr *sizer) cost(capacity []float64) float64 {
 	sum := 0.0
 	for mod, num := range capacity {
-		share := szr.mods[mod].InitialShare
+		share := szr.shares[mod]
 		sum += share * share / max(num, unservedGroupFraction*float64(szr.mods[mod].VMs))
 	}
 	return sum * float64(szr.totalVMs)
--- a/internal/sizing/sizing_test.go
+++ b/internal/sizing/sizing_test.go
@@ -75,6 +75,11 @@
 	return larges, smalls
 }
 
+// plan returns the plan of a site that has measured no work yet.
+func plan(doms []sizing.Domain) *sizing.Plan {
+	return sizing.New(models, sizing.Shares(models, nil, 48), doms)
+}
+
 // Covers a starting site of 48 VMs in six domains of eight. One large and two small groups fill a domain, but the large
 // model needs a third more groups than there are domains, so that some domains must run two large groups.
 func TestGroupsFollowTheShareOfTheWork(tst *testing.T) {
@@ -82,7 +87,7 @@
 	for _, zone := range []string{"a", "a", "b", "b", "c", "c"} {
 		doms = append(doms, domainChoice(zone, free(8, large, small)))
 	}
-	counts := sizing.New(models, doms).Groups
+	counts := plan(doms).Groups
 	larges, smalls := sums(counts)
 	qt.Assert(tst, []int{larges, smalls}, qt.DeepEquals, []int{8, 8})
 	for zone := range 3 {
@@ -104,35 +109,35 @@
 // Covers the loss of a VM of a large group in a domain with two small groups: one small group is dissolved, one of its
 // VMs, whose host holds the weights, completes the large group, and the other VM stays as a spare.
 func TestSmallGroupIsDissolvedForLargeOne(tst *testing.T) {
-	counts := sizing.New(models, site(domainChoice("a", free(3, large, small), groups(0, 2)))).Groups
+	counts := plan(site(domainChoice("a", free(3, large, small), groups(0, 2)))).Groups
 	qt.Assert(tst, counts[0], qt.DeepEquals, []int{1, 1})
 }
 
 // Covers the loss of a VM of a large group in a domain without small groups: the survivors serve the small model
 // instead of idling, and form the large group again once a VM with the weights of the large model joins.
 func TestSurvivorsServeUntilTheirGroupIsComplete(tst *testing.T) {
-	counts := sizing.New(models, site(domainChoice("a", free(3, large, small), groups(1, 0)))).Groups
+	counts := plan(site(domainChoice("a", free(3, large, small), groups(1, 0)))).Groups
 	qt.Assert(tst, counts[0], qt.DeepEquals, []int{1, 1})
-	counts = sizing.New(models, site(domainChoice("a", free(2, large), groups(1, 1)))).Groups
+	counts = plan(site(domainChoice("a", free(2, large), groups(1, 1)))).Groups
 	qt.Assert(tst, counts[0], qt.DeepEquals, []int{2, 0})
 }
 
 // Guards against a group with a member that must load weights first, while the other members idle.
 func TestVMsWithoutWeightsFormNoGroup(tst *testing.T) {
-	counts := sizing.New(models, site(domainChoice("a", free(3, large), free(1), groups(1, 0)))).Groups
+	counts := plan(site(domainChoice("a", free(3, large), free(1), groups(1, 0)))).Groups
 	qt.Assert(tst, counts[0], qt.DeepEquals, []int{1, 0})
 }
 
 // Covers a domain that returns from an outage and whose hosts hold only the weights of the small model: its VMs serve
 // the small model instead of loading the large one for many seconds.
 func TestLocalWeightsDecideBetweenEqualModels(tst *testing.T) {
-	counts := sizing.New(models, site(domainChoice("a", free(8, small)))).Groups
+	counts := plan(site(domainChoice("a", free(8, small)))).Groups
 	qt.Assert(tst, counts[0], qt.DeepEquals, []int{0, 4})
 }
 
 // Covers the loss of several large groups: small groups are dissolved to replace them.
 func TestSeveralSmallGroupsAreDissolved(tst *testing.T) {
-	larges, _ := sums(sizing.New(models, []sizing.Domain{
+	larges, _ := sums(plan([]sizing.Domain{
 		domainChoice("a", groups(0, 4)), domainChoice("b", groups(0, 4)), domainChoice("c", groups(1, 2)),
 	}).Groups)
 	qt.Assert(tst, larges >= 3, qt.IsTrue, qt.Commentf("%d large groups", larges))
@@ -143,7 +148,7 @@
 func TestZoneOutOfServiceDoesNotCount(tst *testing.T) {
 	out := domainChoice("a", groups(2, 0), free(4, large, small))
 	out.OutOfService = true
-	counts := sizing.New(models, []sizing.Domain{out, domainChoice("b", groups(0, 4)), domainChoice("c", groups(1, 2))}).Groups
+	counts := plan([]sizing.Domain{out, domainChoice("b", groups(0, 4)), domainChoice("c", groups(1, 2))}).Groups
 	qt.Assert(tst, counts[0], qt.DeepEquals, []int{2, 0})
 	qt.Assert(tst, counts[1][large] >= 1, qt.IsTrue)
 }
@@ -163,7 +168,7 @@
 			}
 			doms = append(doms, dom)
 		}
-		counts := sizing.New(models, doms).Groups
+		counts := plan(doms).Groups
 		for idx := range doms {
 			used := counts[idx][large]*models[large].VMs + counts[idx][small]*models[small].VMs
 			if used > len(doms[idx].VMs) {
@@ -175,10 +180,69 @@
 				doms[idx].VMs[pos].LocalWeights = nil
 			}
 		}
-		for idx, num := range sizing.New(models, doms).Groups {
+		for idx, num := range plan(doms).Groups {
 			if num[large] < counts[idx][large] || num[small] < counts[idx][small] {
 				rpt.Fatalf("domain %d: %v became %v", idx, counts[idx], num)
 			}
 		}
 	})
 }
+
+// Guards against a site that keeps the groups it started with while a zone is out of service: callers ask for twice as much
+// of the small model as its initial share says, so that it is overloaded while groups of the large one idle.
+func TestGroupsFollowTheMeasuredWork(tst *testing.T) {
+	doms := site(domainChoice("a", groups(1, 2)))
+	for idx := range doms {
+		doms[idx].OutOfService = doms[idx].Zone == "c"
+	}
+	count := func(demand map[string]float64) (larges, smalls int) {
+		return sums(sizing.New(models, sizing.Shares(models, demand, 48), doms).Groups[:4])
+	}
+	larges, smalls := count(nil)
+	qt.Assert(tst, larges >= smalls/2, qt.IsTrue, qt.Commentf("%d large and %d small groups without demand", larges, smalls))
+	larges, smalls = count(map[string]float64{
+		"large": 6,
+		"small": 16,
+	})
+	qt.Assert(tst, smalls >= 10, qt.IsTrue, qt.Commentf("%d large and %d small groups", larges, smalls))
+	qt.Assert(tst, larges >= 2, qt.IsTrue, qt.Commentf("%d large and %d small groups", larges, smalls))
+}
+
+// Guards against groups that change back and forth: work that differs from the initial shares by as much as the mix of a
+// few seconds does must change no running group.
+func TestSmallShiftsOfTheWorkChangeNoGroup(tst *testing.T) {
+	var doms []sizing.Domain
+	for idx, zone := range []string{"a", "a", "b", "b", "c", "c"} {
+		if idx%3 == 0 {
+			doms = append(doms, domainChoice(zone, groups(2, 0)))
+			continue
+		}
+		doms = append(doms, domainChoice(zone, groups(1, 2)))
+	}
+	before := plan(doms).Groups
+	for _, larger := range []float64{0.9, 1, 1.1} {
+		shares := sizing.Shares(models, map[string]float64{
+			"large": 20 * larger,
+			"small": 10,
+		}, 48)
+		qt.Assert(tst, sizing.New(models, shares, doms).Groups, qt.DeepEquals, before)
+	}
+}
+
+// Guards against a model with few groups that gets only what its mean load needs: one lost group is a larger part of them.
+func TestFewGroupsGetMoreHeadroom(tst *testing.T) {
+	shares := sizing.Shares(models, map[string]float64{
+		"large": 4,
+		"small": 32,
+	}, 48)
+	qt.Assert(tst, shares[large] > 4.0/36, qt.IsTrue, qt.Commentf("%v", shares))
+}
+
+func TestSharesStartFromTheConfiguration(tst *testing.T) {
+	qt.Assert(tst, sizing.Shares(models, nil, 48), qt.DeepEquals, []float64{0.67, 0.33})
+	qt.Assert(tst, sizing.Shares(models, nil, 0), qt.DeepEquals, []float64{0, 0})
+	shares := sizing.Shares(models, map[string]float64{
+		"small": 24,
+	}, 48)
+	qt.Assert(tst, shares[small] > 0.9 && shares[large] > 0, qt.IsTrue, qt.Commentf("%v", shares))
+}
--- a/internal/standin/emulator/simulation.go
+++ b/internal/standin/emulator/simulation.go
@@ -237,7 +237,7 @@
 		dmn.loadView.RecordOwn(dmn.announcement)
 		sum.ReceiveAnnouncement(dmn.name, dmn.announcement, now)
 	}
-	all := sum.SiteSum(nil, now)
+	all := sum.SiteSum(loadview.Announcement{}, now)
 	for _, dmn := range sim.daemons {
 		if len(sim.daemons) > hub.MaxFullMeshDaemons {
 			if last != nil {
