Use one formula for the time that a request takes of a full group

CompletionInterval and Work computed the same. A new test holds them together: a group that stays full completes as much work in a second as it has VMs.

--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -27,18 +27,19 @@
 
 // CompletionInterval returns the mean time between the ends of two requests at a group whose batch is full.
 func CompletionInterval(engine *route.Engine, model *route.Model) time.Duration {
-	slots := max(1, engine.Slots)
-	step := scaleToModel(model, engine.BaseStepTime+time.Duration(slots)*engine.StepTimePerRequest)
-	whole := time.Duration(engine.MeanOutputTokens)*step + time.Duration(slots)*prefillTime(engine, model, engine.MeanPromptTokens)
-	return whole / time.Duration(slots)
+	return occupancy(engine, model, engine.MeanPromptTokens, engine.MeanOutputTokens)
 }
 
 // Work returns the VM seconds that a request takes at a group whose batch is full.
 func Work(engine *route.Engine, model *route.Model, promptTokens, outputTokens int) float64 {
-	slots := max(1, engine.Slots)
-	step := scaleToModel(model, engine.BaseStepTime+time.Duration(slots)*engine.StepTimePerRequest)
-	whole := time.Duration(outputTokens)*step/time.Duration(slots) + prefillTime(engine, model, promptTokens)
-	return whole.Seconds() * float64(model.VMs)
+	return occupancy(engine, model, promptTokens, outputTokens).Seconds() * float64(model.VMs)
+}
+
+// occupancy returns the part of a group's time that one request takes if the batch is full.
+func occupancy(eng *route.Engine, mod *route.Model, promptTokens, outputTokens int) time.Duration {
+	slots := max(1, eng.Slots)
+	step := scaleToModel(mod, eng.BaseStepTime+time.Duration(slots)*eng.StepTimePerRequest)
+	return time.Duration(outputTokens)*step/time.Duration(slots) + prefillTime(eng, mod, promptTokens)
 }
 
 func prefillTime(eng *route.Engine, mod *route.Model, tokens int) time.Duration {
--- a/internal/admission/forecast_test.go
+++ b/internal/admission/forecast_test.go
@@ -89,3 +89,15 @@
 	qt.Assert(tst, busy <= admission.MaxUsefulForecast(objective, 0, idleForecast), qt.IsTrue)
 	qt.Assert(tst, busy <= admission.MaxUsefulForecast(objective, 600*time.Millisecond, idleForecast), qt.IsFalse)
 }
+
+// Guards against a measure of work that differs from what groups serve: a group whose batch stays full completes as much
+// work in a second as it has VMs.
+func TestWorkOfAFullGroupKeepsItsVMsBusy(tst *testing.T) {
+	group := &route.Model{
+		TimeFactor: 0.6,
+		VMs:        4,
+	}
+	perSecond := float64(time.Second) / float64(admission.CompletionInterval(engine, group))
+	work := perSecond * admission.Work(engine, group, engine.MeanPromptTokens, engine.MeanOutputTokens)
+	qt.Assert(tst, work > 3.99 && work < 4.01, qt.IsTrue, qt.Commentf("%v", work))
+}
