Give up the first connection to a silent server in time for another one

Change: the first send of a request waits 120 ms for its connection, each further one twice as long (the pool's 600 ms stay the bound), so that slow links or a busy VM, where every connection takes long, still get one.

The new tests fail on the former policy: no second server is tried within 350 ms.

--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	"github.com/juju/errors"
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -34,6 +35,8 @@
 	// objective is that of the route, and usualTime the mean time of calls that placement reports.
 	objective time.Duration
 	usualTime time.Duration
+	// connectDelay is the time that every connection takes.
+	connectDelay time.Duration
 }
 
 func (fix *fixture) handler() http.Handler {
@@ -80,7 +83,17 @@
 				Release:       func() {},
 			}, nil
 		},
-		Connect:       func(ctx context.Context, adr string) (*upstream.Conn, error) { return pol.Get(ctx, adr) },
+		Connect: func(ctx context.Context, adr string) (*upstream.Conn, error) {
+			if fix.connectDelay == 0 {
+				return pol.Get(ctx, adr)
+			}
+			select {
+			case <-ctx.Done():
+				return nil, errors.WithType(ctx.Err(), upstream.ErrNotSent)
+			case <-time.After(fix.connectDelay):
+				return pol.Get(ctx, adr)
+			}
+		},
 		RecordRequest: func(string, time.Time) {},
 		RecordDemand:  func(placement.Request, time.Time) {},
 		TakeRetry: func(string, time.Time) bool {
@@ -156,3 +169,35 @@
 	fix.choices = 0
 	qt.Assert(tst, fix.get(), qt.Equals, http.StatusServiceUnavailable)
 }
+
+// Guards against requests that wait for a server that is down until their objective has passed, and against a busy VM
+// whose connections all take long and that would reach no server with a short timeout.
+func TestConnectTimeoutGrows(tst *testing.T) {
+	fix := &fixture{
+		tst:          tst,
+		addresses:    []string{answering(tst, http.StatusOK)},
+		connectDelay: time.Minute,
+	}
+	start := time.Now()
+	qt.Assert(tst, fix.get(), qt.Equals, http.StatusServiceUnavailable)
+	took := time.Since(start)
+	qt.Assert(tst, took < 2500*time.Millisecond, qt.IsTrue, qt.Commentf("%d sends took %v", fix.choices, took))
+	fix.choices = 0
+	fix.connectDelay = 350 * time.Millisecond
+	qt.Assert(tst, fix.get(), qt.Equals, http.StatusOK)
+	qt.Assert(tst, fix.choices, qt.Equals, 3)
+}
+
+// Guards against a first connection that uses up the objective.
+func TestFirstConnectionLeavesTimeForAnother(tst *testing.T) {
+	const objective = 300 * time.Millisecond
+	fix := &fixture{
+		tst:          tst,
+		addresses:    []string{answering(tst, http.StatusOK)},
+		connectDelay: 200 * time.Millisecond,
+	}
+	start := time.Now()
+	qt.Assert(tst, fix.get(), qt.Equals, http.StatusOK)
+	qt.Assert(tst, fix.choices, qt.Equals, 2)
+	qt.Assert(tst, time.Since(start) < 200*time.Millisecond+objective/2, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -25,6 +25,10 @@
 const maxExtraSends = 2
 
 const (
+	// firstConnectTimeout bounds the time to connect for the first send of a request: a server that is down does not
+	// respond, and another one can still be on time. Each further send has twice the time, since slow links or a busy VM
+	// can delay all connections.
+	firstConnectTimeout = 120 * time.Millisecond
 	// latePriorityOffset is added to the priority of a request that will miss its objective, so that it ranks behind
 	// every request that can still meet it.
 	latePriorityOffset = 5
@@ -202,7 +206,7 @@
 	run.sends++
 	run.pick = pick
 	srv := pick.Server
-	con, err := rly.deps.Connect(ctx, srv.Address)
+	con, err := run.connect(ctx, srv.Address)
 	if err != nil {
 		if ctx.Err() == nil {
 			rly.outliers.Eject(srv.ID, rly.clock.Now())
@@ -225,6 +229,13 @@
 	return run.handleResponse(ctx, watch, pick, rsp)
 }
 
+// connect returns a connection to a backend server, within firstConnectTimeout for the first send of the request.
+func (run *run) connect(ctx context.Context, adr string) (*upstream.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, firstConnectTimeout<<(run.sends-1))
+	defer cancel()
+	return run.relay.deps.Connect(ctx, adr)
+}
+
 // recordBrokenConnection records a connection that ended before the response was complete.
 func (run *run) recordBrokenConnection(ctx context.Context, watch *stallWatch, srv *serverregistry.Server, err error) error {
 	server := srv.ID
