--- a/internal/sitecontrol/controller.go
+++ b/internal/sitecontrol/controller.go
@@ -237,12 +237,13 @@
 				}
 				return
 			}
-			ctr.logPlan(chg.Allocation)
+			ctr.logPlan(chg.Allocation, sit.demand)
 		}
 	}
 }
 
-func (ctr *Controller) logPlan(alc group.Allocation) {
+// logPlan logs the groups that an allocation changes; demand is the measured work by model from which it was planned.
+func (ctr *Controller) logPlan(alc group.Allocation, demand map[string]float64) {
 	for _, grp := range alc.Groups {
 		if grp.Fencing != alc.Counter && !grp.Draining {
 			continue
@@ -254,6 +255,7 @@
 			zap.String("model", grp.Model),
 			zap.Bool("draining", grp.Draining),
 			zap.Any("members", grp.Members),
+			zap.Float64("busyVMs", demand[grp.Model]),
 		)
 	}
 	for _, unm := range alc.Unmet {
