--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -442,7 +442,8 @@
 		own.unreadTokens -= unread
 		unread = 0
 	}
-	responseBegan := req.Service.Engine == nil
+	// A request without a response says nothing about the usual time: it may have hung.
+	responseBegan := false
 	began = func() {
 		plm.mu.Lock()
 		defer plm.mu.Unlock()
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -355,6 +355,7 @@
 		}
 		pck := choose()
 		fix.clk.Advance(usual)
+		pck.ResponseBegan()
 		pck.Release()
 		fix.viw.ReceiveAnnouncement("entry-2", loadview.Announcement{
 			Sequence: 1,
@@ -394,3 +395,23 @@
 	}
 	qt.Assert(tst, counts["job-b"] >= 3, qt.IsTrue, qt.Commentf("%v", counts))
 }
+
+// Guards against calls that wait ever longer at a server that hangs: the time of a call without a response must not count
+// as usual, since calls are retried after a multiple of the usual time.
+func TestHangingCallsDoNotCountAsUsual(tst *testing.T) {
+	fix, svc := plainFixture()
+	for num, answered := range []bool{false, true, false, false} {
+		pck, err := fix.plm.Choose(placement.Request{
+			Service: svc,
+		}, fix.clk.Now())
+		qt.Assert(tst, err, qt.IsNil)
+		qt.Assert(tst, pck.UsualTime <= 20*time.Millisecond, qt.IsTrue, qt.Commentf("call %d: %v", num, pck.UsualTime))
+		if answered {
+			fix.clk.Advance(20 * time.Millisecond)
+			pck.ResponseBegan()
+		} else {
+			fix.clk.Advance(600 * time.Millisecond)
+		}
+		pck.Release()
+	}
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -317,6 +317,9 @@
 	if isEventStream(rsp) && rsp.StatusCode == http.StatusOK {
 		return run.forwardEvents(ctx, watch, pick, rsp, rhd)
 	}
+	if run.service.Engine == nil {
+		pick.ResponseBegan()
+	}
 	return run.forwardBuffered(ctx, watch, pick.Server, rsp, rhd)
 }
 
