Guard the zones of plain calls by a test that fails on the former cost, and correct two comments

Plain calls state no tokens, so that requests in flight do not enter the score of a server by themselves; the cost acts where calls wait for slots and where they are spread because the view lacks requests. The new test replays the second and fails at 30 ms; the former one stays, and the comment says what the cost does.

Behaviour is unchanged.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -29,9 +29,9 @@
 	// plainServiceTime is the expected time of a call to a plain service. Its size does not matter, since scores are
 	// only compared with each other.
 	plainServiceTime = 30 * time.Millisecond
-	// plainRequestCost is added to the score of a plain backend server for each request in flight. It is below
-	// crossZoneCost, so that calls stay in their availability zone until the servers there are nearly full: a call that
-	// is in flight to another zone when that zone is cut off may be lost for good.
+	// plainRequestCost is the time by which one request raises the score of a plain backend server where calls wait for
+	// slots or are spread because the view lacks some. It is below crossZoneCost, so that calls stay in their availability
+	// zone until several wait there: a call in flight to another zone when that zone is cut off may be lost for good.
 	plainRequestCost = 5 * time.Millisecond
 	// crossZoneCost is added to the score of a backend server in another availability zone: about the load difference
 	// at which the transfer between zones pays off.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -415,3 +415,40 @@
 		pck.Release()
 	}
 }
+
+// Guards against calls that are spread over other zones because the daemon's view lacks some requests, although servers of
+// the own zone have free slots.
+func TestUnseenPlainCallsAreNotSpreadOverZones(tst *testing.T) {
+	fix, svc := plainFixture()
+	choose := func() placement.Pick {
+		pck, err := fix.plm.Choose(placement.Request{
+			Service: svc,
+		}, fix.clk.Now())
+		qt.Assert(tst, err, qt.IsNil)
+		return pck
+	}
+	// The mean time of a call and the loads of another daemon show that the view lacks two requests.
+	pck := choose()
+	fix.clk.Advance(60 * time.Millisecond)
+	pck.ResponseBegan()
+	pck.Release()
+	fix.viw.ReceiveAnnouncement("entry-2", loadview.Announcement{
+		Sequence: 1,
+		Loads: []loadview.Load{
+			{
+				Server:   "job-a",
+				Requests: 1,
+			},
+			{
+				Server:   "job-b",
+				Requests: 1,
+			},
+		},
+	}, fix.clk.Now())
+	fix.clk.Advance(60 * time.Millisecond)
+	for range 50 {
+		pck := choose()
+		qt.Assert(tst, pck.Server.ID, qt.Equals, "job-a")
+		pck.Release()
+	}
+}
--- a/internal/sizing/sizing.go
+++ b/internal/sizing/sizing.go
@@ -57,7 +57,7 @@
 // sizer improves the choices of all domains step by step.
 type sizer struct {
 	mods []route.Model
-	// shares holds each model's share of the work.
+	// shares holds the share of the VMs that each model needs.
 	shares   []float64
 	doms     []*domainChoice
 	totalVMs int
@@ -104,7 +104,7 @@
 	return shares
 }
 
-// New returns the plan for domains, given each model's share of the work. It starts from the running groups and changes
+// New returns the plan for domains, given the share of the VMs that each model needs. It starts from the running groups and changes
 // one domain at a time while that lowers the cost.
 func New(mods []route.Model, shares []float64, doms []Domain) *Plan {
 	pln := &Plan{
