Record the era of the store in logs and a metric

The store may come back from a copy; the header Store-Era of its answers then rises by one. Nothing read it, so that logs could not tell a restore from an outage. The client logs the first response of an era and keeps it in a gauge.

--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -81,7 +81,7 @@
 	return dlr.DialContext(ctx, network, adr)
 }
 
-func newStore(set *settings.Settings, met metrics.Registry) objects.Store {
+func newStore(set *settings.Settings, met metrics.Registry, log *zap.Logger) objects.Store {
 	htc := &http.Client{
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, network, adr string) (net.Conn, error) {
@@ -93,8 +93,11 @@
 			DisableCompression:  true,
 		},
 	}
-	calls := metrics.GetOrRegisterCounter("PlatformCalls", met)
-	return platform.NewStore(set.Platform.Address, htc, set.Platform.Timeout, calls).Objects()
+	storeMetrics := platform.StoreMetrics{
+		Calls: metrics.GetOrRegisterCounter("PlatformCalls", met),
+		Era:   metrics.GetOrRegisterGauge("PlatformStoreEra", met),
+	}
+	return platform.NewStore(set.Platform.Address, htc, set.Platform.Timeout, storeMetrics, log).Objects()
 }
 
 func newPool(clk clockwork.Clock, met metrics.Registry) *upstream.Pool {
