Order versions of the store over its eras

Cause: versions were the store's plain revisions, which every package takes to only increase. A restored store gives them out again: what it says later counts as older than what was lost, a watch resumes beyond changes it never saw, and a condition on a write may hold for another state. The class is an order assumed beyond the life of what gives it.

Ruled out: the watch's delay (the daemons had listed the zone in time, its version was lower), the operator (acknowledged at 18.5 s).

The client of the store now puts the era in front of the revision.

--- a/internal/objects/object.go
+++ b/internal/objects/object.go
@@ -19,7 +19,8 @@
 	KindQuarantine = "Quarantine"
 )
 
-// Object is one stored value. Version is the store-wide revision of its last write; revisions only increase.
+// Object is one stored value. Version is the store-wide version of its last write; versions only increase, also when the
+// store is restored from a copy (see VersionIn).
 type Object struct {
 	Kind    string
 	Name    string
@@ -65,7 +66,7 @@
 // Store is the set of calls to the platform. They are function fields so that tests can replace each of them.
 type Store struct {
 	Get func(ctx context.Context, kind, name string) (Object, error)
-	// List returns all objects of a kind and the store's revision at the time of the list.
+	// List returns all objects of a kind and the store's version at the time of the list.
 	List func(ctx context.Context, kind string) ([]Object, uint64, error)
 	// GetStale and ListStale are variants of Get and List that may return data that is seconds old. Some platforms
 	// serve them at a lower cost; on the others they equal Get and List.
@@ -76,10 +77,21 @@
 	Put func(ctx context.Context, kind, name string, expected uint64, value []byte) (uint64, error)
 	// Delete deletes the object if its version equals expected.
 	Delete func(ctx context.Context, kind, name string, expected uint64) error
-	// Watch waits for changes to objects of a kind after revision since and returns them with the new revision. It
+	// Watch waits for changes to objects of a kind after version since and returns them with the new version. It
 	// returns no changes if there are none within the platform's wait time. A deadline of ctx shortens that time if
 	// the platform allows callers to choose it.
 	Watch func(ctx context.Context, kind string, since uint64) ([]Object, uint64, error)
 	// VMs returns the platform's list of VMs, which lags behind.
 	VMs func(ctx context.Context) ([]VM, error)
+	// Era returns the latest era that the store has reported to this process, counted from 0; nil on platforms whose
+	// store loses nothing.
+	Era func() uint64
+}
+
+// CurrentEra returns the latest era that the store has reported to this process.
+func (sto *Store) CurrentEra() uint64 {
+	if sto.Era == nil {
+		return 0
+	}
+	return sto.Era()
 }
--- a/internal/storesync/follower.go
+++ b/internal/storesync/follower.go
@@ -201,7 +201,8 @@
 
 // ApplyBatch applies changes that another daemon sent at the time sent or later. It ignores a batch that begins after
 // the revision of this copy: the missing changes are read from the store if no batch brings them in time. It also ignores
-// a batch that arrives before the first list, and one whose confirmation by the store is at least MaxAge old.
+// a batch that arrives before the first list, one whose confirmation by the store is at least MaxAge old, and one from an
+// earlier era of the store.
 func (fol *Follower) ApplyBatch(bat Batch, sent time.Time) {
 	if !fol.cfg.FeedsEnabled() {
 		return
@@ -210,7 +211,7 @@
 	defer fol.mu.Unlock()
 	now := fol.clk.Now()
 	confirmed := sent.Add(-bat.Age)
-	if fol.revision == 0 || now.Sub(confirmed) >= fol.cfg.MaxAge {
+	if fol.revision == 0 || now.Sub(confirmed) >= fol.cfg.MaxAge || objects.EraOf(bat.Revision) < fol.pst.CurrentEra() {
 		return
 	}
 	if bat.Since > fol.revision {
