Keep one lease holder and distinct epochs when the store is restored

What could happen: a restored store lacks the latest records of the lease. The record of a former holder, or none, comes back, so that a second daemon takes the lease at once while the first still holds it, and gives its epoch out again. Engines tell orders apart by it.

Cause: the lease trusted that the record only moves on.

A lease now ends when the store is known to be in a later era. Its holder goes on at once, in an epoch above every version of earlier eras; any other daemon first waits for a whole duration, in which a holder that does not know of the restore ends by itself. No change in the first era.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -40,9 +40,11 @@
 
 	mu   sync.Mutex
 	held bool
-	// renewedAt is the time before the last successful write was sent; the lease counts from it.
-	renewedAt time.Time
-	epoch     uint64
+	// renewedAt is the time before the last successful write was sent; the lease counts from it. renewedEra is the era of
+	// the store in which it was written.
+	renewedAt  time.Time
+	renewedEra uint64
+	epoch      uint64
 	// written and writtenVersion are the record that this daemon wrote last and its version, 0 if another
 	// record may have been written since.
 	written        Record
@@ -55,6 +57,8 @@
 	// wrote it.
 	announcedVersion uint64
 	announcedAt      time.Time
+	// observedEra is the latest era of the store in which the record was read.
+	observedEra uint64
 	// lastReadFailed is set when the last read failed; takeoverNotBefore is the time from which another
 	// daemon's lease may be acquired.
 	lastReadFailed    bool
@@ -74,10 +78,15 @@
 }
 
 // Held reports whether this daemon holds the lease now. It counts only three quarters of the duration and keeps the
-// rest in reserve.
+// rest in reserve. A lease ends when the store is restored from a copy, which may lack it.
 func (les *Lease) Held() bool {
 	les.mu.Lock()
 	defer les.mu.Unlock()
+	return les.inForce() && les.renewedEra == les.store.CurrentEra()
+}
+
+// inForce reports whether the last renewal still counts in the era in which it was written. The caller holds the lock.
+func (les *Lease) inForce() bool {
 	return les.held && les.clock.Since(les.renewedAt) < les.duration*3/4
 }
 
@@ -115,22 +124,36 @@
 	next := Record{
 		Holder:   les.holder,
 		Instance: les.instance,
-		Epoch:    rec.Epoch,
+		Epoch:    les.nextEpoch(rec, obj.Version),
 		Duration: les.duration,
 		Renewal:  rec.Renewal + 1,
 	}
-	if rec.Instance != les.instance {
-		next.Epoch++
-	}
 	return les.write(ctx, obj.Version, next)
 }
 
+// nextEpoch returns the epoch in which this daemon may write the lease over the record rec of the given version. It exceeds
+// all epochs that other daemons have used. After a restore the record may lack the latest of them, but they are lower
+// than any version of the new era.
+func (les *Lease) nextEpoch(rec Record, version uint64) uint64 {
+	les.mu.Lock()
+	defer les.mu.Unlock()
+	era := les.observedEra
+	if rec.Instance == les.instance && les.renewedEra == era {
+		return rec.Epoch
+	}
+	if era == 0 {
+		return rec.Epoch + 1
+	}
+	return max(rec.Epoch, version, objects.VersionIn(era, 0)) + 1
+}
+
 // renewedRecently reports whether this daemon renewed the lease less than a quarter of the duration ago, so that no
 // renewal is due.
 func (les *Lease) renewedRecently() bool {
+	held := les.Held()
 	les.mu.Lock()
 	defer les.mu.Unlock()
-	return les.held && les.clock.Since(les.renewedAt) < les.duration/4
+	return held && les.clock.Since(les.renewedAt) < les.duration/4
 }
 
 // lastWritten returns the record that this daemon wrote last and its version, 0 if it may be outdated.
@@ -180,15 +203,24 @@
 	les.mu.Lock()
 	defer les.mu.Unlock()
 	var rec Record
-	if obj.Version == 0 || json.Unmarshal(obj.Value, &rec) != nil {
-		return rec, true
-	}
+	unreadable := obj.Version == 0 || json.Unmarshal(obj.Value, &rec) != nil
 	if obj.Version != les.observedVersion {
 		les.observedVersion = obj.Version
 		les.observedAt = les.clock.Now()
 	}
+	if era := les.store.CurrentEra(); era != les.observedEra {
+		les.observedEra = era
+		if les.inForce() {
+			// The other daemons wait for the lease of the former era to end.
+			return rec, true
+		}
+		les.takeoverNotBefore = les.clock.Now().Add(les.duration)
+	}
+	if unreadable {
+		return rec, !les.clock.Now().Before(les.takeoverNotBefore)
+	}
 	if rec.Instance == les.instance {
-		return rec, true
+		return rec, les.renewedEra == les.observedEra || !les.clock.Now().Before(les.takeoverNotBefore)
 	}
 	les.held = false
 	if les.lastReadFailed {
@@ -216,14 +248,16 @@
 	les.written, les.writtenVersion = rec, ver
 	if err != nil {
 		les.writtenVersion = 0
-		// After an unknown outcome the next Acquire reads the store to find out who holds the lease.
-		if errors.Is(err, objects.ErrConflict) {
+		// After an unknown outcome the next Acquire reads the store to find out who holds the lease, and also after a
+		// conflict with a store that was restored: no other daemon can have acquired the lease yet.
+		if errors.Is(err, objects.ErrConflict) && les.renewedEra == les.store.CurrentEra() {
 			les.held = false
 		}
 		return errors.Trace(err)
 	}
 	les.held = true
 	les.renewedAt = before
+	les.renewedEra = objects.EraOf(ver)
 	les.epoch = rec.Epoch
 	return nil
 }
