Write allocations again that a restored store has lost

What callers saw: in TestGroupsAreRepairedAfterRestore a group that had lost a VM was never formed again. Each write of the allocation conflicted, since the holder's copy was newer than the store's and was kept.

Cause: only the lease holder knows the allocations that were written since the copy, and it trusted the store to keep them. A later holder would also have given the counters of lost writes out again; engines and the check before an open tell groups by name and epoch, so that members of two groups could have counted as one.

The holder reads the allocations anew in each epoch of its lease, writes those again of which it knows a later counter, and takes over the others. Counters begin above every version of earlier eras. No change in the first era.

--- a/internal/allocationwriter/writer.go
+++ b/internal/allocationwriter/writer.go
@@ -29,18 +29,48 @@
 }
 
 // Refresh copies the allocations that former lease holders wrote into the inventory, since a watch may not have
-// delivered them yet.
+// delivered them yet. Allocations of the inventory that the store lost, because it was restored from a copy, are written
+// again.
 func (wrt *Writer) Refresh(ctx context.Context) error {
-	objs, _, err := wrt.store.List(ctx, objects.KindAllocation)
+	objs, ver, err := wrt.store.List(ctx, objects.KindAllocation)
 	if err != nil {
 		return errors.Annotate(err, "read the allocations")
 	}
+	stored := map[string]objects.Object{}
 	for _, obj := range objs {
+		stored[obj.Name] = obj
+	}
+	for _, known := range wrt.localCopy.AllAllocations() {
+		obj := stored[known.FabricDomain]
+		if objects.EraOf(known.Version) == objects.EraOf(ver) || decodeCounter(obj) >= known.Counter {
+			continue
+		}
+		known.Version = obj.Version
+		if err := wrt.Write(ctx, known); err != nil {
+			return errors.Annotatef(err, "write the lost allocation of %s again", known.FabricDomain)
+		}
+		delete(stored, known.FabricDomain)
+	}
+	for _, obj := range stored {
 		wrt.localCopy.ApplyAllocation(ctx, obj)
 	}
 	return nil
 }
 
+// decodeCounter returns the counter of a stored allocation, 0 if there is none or it cannot be decoded.
+func decodeCounter(obj objects.Object) uint64 {
+	var alc group.Allocation
+	if len(obj.Value) == 0 || json.Unmarshal(obj.Value, &alc) != nil {
+		return 0
+	}
+	return alc.Counter
+}
+
+// MinCounter returns a number that exceeds the counters of all allocations that the store may have lost.
+func (wrt *Writer) MinCounter() uint64 {
+	return objects.VersionIn(wrt.store.CurrentEra(), 0)
+}
+
 // Write replaces the stored allocation that the given one was derived from. It fails with objects.ErrConflict if the
 // stored one has changed since, or if a write of unknown outcome turns out not to have taken effect.
 func (wrt *Writer) Write(ctx context.Context, allocation group.Allocation) error {
--- a/internal/group/domain.go
+++ b/internal/group/domain.go
@@ -11,7 +11,9 @@
 	changed bool
 	// localWeightsOnly is View.LocalWeightsOnly.
 	localWeightsOnly bool
-	vms              map[string]VMView
+	// minCounter is View.MinCounter.
+	minCounter uint64
+	vms        map[string]VMView
 	// assigned holds the members of groups.
 	assigned map[string]bool
 	// releaseDelayed holds VMs that left a group and that a late order may still reach.
@@ -19,9 +21,10 @@
 }
 
 // nextCounter returns the counter of the next write. It exceeds every fencing token that a VM of the domain reports, so
-// that engines do not reject orders as stale after the object had to be created again.
+// that engines do not reject orders as stale after the object had to be created again, and all counters that were lost,
+// so that no two groups have the same epoch.
 func (dom *domain) nextCounter() uint64 {
-	most := dom.alc.Counter
+	most := max(dom.alc.Counter, dom.minCounter)
 	for _, vmv := range dom.vms {
 		most = max(most, vmv.FencingToken)
 	}
--- a/internal/group/plan.go
+++ b/internal/group/plan.go
@@ -52,6 +52,8 @@
 	Drained map[Key]bool
 	// Broken holds the groups that have stopped working although no member is lost, and that must be formed again.
 	Broken map[Key]bool
+	// MinCounter is at least the counter of any allocation that was written and then lost.
+	MinCounter uint64
 }
 
 // Key identifies a group by fabric domain and name. While a group moves, two domains can hold a group of that name.
@@ -140,6 +142,7 @@
 				AvailabilityZone: pln.viw.AvailabilityZone,
 			},
 			localWeightsOnly: pln.viw.LocalWeightsOnly,
+			minCounter:       pln.viw.MinCounter,
 
 			vms:            map[string]VMView{},
 			assigned:       map[string]bool{},
--- a/internal/group/plan_test.go
+++ b/internal/group/plan_test.go
@@ -564,3 +564,39 @@
 	}
 	os.Exit(run.Run())
 }
+
+// Guards against a group in the same epoch as one whose allocation the store has lost: members of both would count as ready in
+// one group.
+func TestCounterExceedsLostCounters(tst *testing.T) {
+	const lost = 40
+	chgs := Plan(View{
+		AvailabilityZone: "zone",
+		Document: &document.Document{
+			Models: []document.Model{
+				{
+					Name:        "small",
+					VMsPerGroup: 1,
+				},
+			},
+			Groups: []document.Group{
+				{
+					Name:             "a",
+					Model:            "small",
+					AvailabilityZone: "zone",
+					Replicas:         1,
+				},
+			},
+		},
+		VMs: []VMView{
+			{
+				Name:         "vm-1",
+				FabricDomain: "fabric",
+				Usable:       true,
+				FencingToken: 7,
+			},
+		},
+		MinCounter: lost,
+	})
+	qt.Assert(tst, chgs, qt.HasLen, 1)
+	qt.Check(tst, chgs[0].Allocation.Groups[0].Fencing > lost, qt.IsTrue)
+}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -179,6 +179,17 @@
 	return val.allocation, val.version
 }
 
+// AllAllocations returns the allocations of all fabric domains.
+func (inv *Inventory) AllAllocations() []group.Allocation {
+	inv.mu.RLock()
+	defer inv.mu.RUnlock()
+	alcs := make([]group.Allocation, 0, len(inv.allocations))
+	for _, val := range inv.allocations {
+		alcs = append(alcs, val.allocation)
+	}
+	return alcs
+}
+
 // Allocations returns the allocations of an availability zone, ordered by fabric domain.
 func (inv *Inventory) Allocations(zone string) []group.Allocation {
 	inv.mu.RLock()
--- a/internal/sitecontrol/controller.go
+++ b/internal/sitecontrol/controller.go
@@ -79,9 +79,10 @@
 	clk  clockwork.Clock
 	log  *zap.Logger
 
-	// tookOver is set while this daemon holds the lease and has read the allocations. A conflict at a write clears it,
-	// so that they are read again.
+	// tookOver is set while this daemon holds the lease and has read the allocations in the lease's epoch tookOverIn. A
+	// conflict at a write clears it, so that they are read again.
 	tookOver       bool
+	tookOverIn     uint64
 	leaseCheckedAt time.Time
 	orderSenders   sync.WaitGroup
 	// mu guards orderInFlight and failedOrders.
@@ -140,14 +141,16 @@
 		}
 		return
 	}
-	if !ctr.tookOver {
+	if epoch := ctr.les.Epoch(); !ctr.tookOver || ctr.tookOverIn != epoch {
+		ctr.tookOver = false
 		if err := ctr.wrt.Refresh(ctx); err != nil {
 			ctr.log.Warn("cannot read the allocations as holder of the site lease", logging.Error(err))
 			return
 		}
 		ctr.tookOver = true
+		ctr.tookOverIn = epoch
 		ctr.pln = orderplan.New(ctr.cfg.StallTime + stallMargin)
-		ctr.log.Info("site lease held, allocations read", zap.Uint64("epoch", ctr.les.Epoch()))
+		ctr.log.Info("site lease held, allocations read", zap.Uint64("epoch", epoch))
 	}
 	for idx := range tbl.Config.Services {
 		if svc := &tbl.Config.Services[idx]; svc.Engine != nil && len(svc.Engine.Models) > 0 {
@@ -227,7 +230,9 @@
 		if sit.obs.domainReturning(sit.domains[idx].Name, sit.now) {
 			continue
 		}
-		for _, chg := range group.Plan(sit.view(&sit.domains[idx])) {
+		viw := sit.view(&sit.domains[idx])
+		viw.MinCounter = ctr.wrt.MinCounter()
+		for _, chg := range group.Plan(viw) {
 			if err := ctr.wrt.Write(ctx, chg.Allocation); err != nil {
 				ctr.log.Warn("cannot write an allocation", zap.String("domain", chg.Allocation.FabricDomain), logging.Error(err))
 				if errors.Is(err, objects.ErrConflict) {
