Register daemons again that a restored store has lost

A daemon wrote its record once, at its start. When the store came back from an older copy, the daemons that had started since were gone from it for good: the others divided cold limits and the retry budget by too small a number and sent them nothing, and with no ranks nobody checked the lease often.

Each daemon now looks for its record in every later era and writes it if it is missing: one read a daemon and restore.

--- a/internal/site/storecache.go
+++ b/internal/site/storecache.go
@@ -56,6 +56,8 @@
 	assumedDaemons = 12
 	// registerRetryInterval is the time between two attempts to register this daemon.
 	registerRetryInterval = 2 * time.Second
+	// eraCheckInterval is the time between two checks whether the store was restored from a copy.
+	eraCheckInterval = 250 * time.Millisecond
 )
 
 // storeCache keeps the daemon's copies of the store's objects current.
@@ -299,20 +301,41 @@
 	Address string
 }
 
-// register writes the record of this daemon to the store, so that all daemons divide shared limits by the same number.
+// register writes the record of this daemon to the store, so that all daemons divide shared limits by the same number. It
+// writes the record again whenever the store was restored from a copy, which may lack it.
 func (stc *storeCache) register(ctx context.Context) {
 	val, err := json.Marshal(daemonRecord{
 		AvailabilityZone: stc.set.Entry.AvailabilityZone,
 		Address:          cmp.Or(stc.set.Listen.AdvertisePeers, stc.set.Listen.Peers),
 	})
-	for ctx.Err() == nil && err == nil {
-		_, err = stc.pst.Put(ctx, objects.KindDaemon, stc.set.Entry.Name, 0, val)
-		if err == nil || errors.Is(err, objects.ErrConflict) {
-			return
+	if err != nil {
+		stc.log.Error("cannot encode the record of this daemon", logging.Error(err))
+		return
+	}
+	era := stc.pst.CurrentEra()
+	for isMissing := true; ctx.Err() == nil; {
+		if isMissing {
+			_, err := stc.pst.Put(ctx, objects.KindDaemon, stc.set.Entry.Name, 0, val)
+			if err != nil && !errors.Is(err, objects.ErrConflict) {
+				stc.log.Warn("cannot register this daemon; will retry", logging.Error(err))
+				sleep(ctx, stc.clk, registerRetryInterval)
+				continue
+			}
+		}
+		era, _ = stc.awaitEraAfter(ctx, era)
+		_, err := stc.pst.Get(ctx, objects.KindDaemon, stc.set.Entry.Name)
+		isMissing = err != nil
+	}
+}
+
+// awaitEraAfter waits until the store is in a later era than the given one, and returns it. It returns false if ctx ends
+// first.
+func (stc *storeCache) awaitEraAfter(ctx context.Context, era uint64) (uint64, bool) {
+	for {
+		if next := stc.pst.CurrentEra(); next != era || ctx.Err() != nil {
+			return next, ctx.Err() == nil
 		}
-		stc.log.Warn("cannot register this daemon; will retry", logging.Error(err))
-		err = nil
-		sleep(ctx, stc.clk, registerRetryInterval)
+		sleep(ctx, stc.clk, eraCheckInterval)
 	}
 }
 
