Store the daemons' key again when a restored store has lost it

A daemon that started after such a restore found no key and made one of its own, so that it could not talk to the others. Daemons that know the key write it again if it is missing, and use the stored one if another was first.

--- a/internal/site/gossip.go
+++ b/internal/site/gossip.go
@@ -103,6 +103,8 @@
 	isHub    bool
 
 	mu sync.Mutex
+	// key is the shared key of the daemons, empty while it is not known.
+	key []byte
 	// backoffs holds the peers that cannot be reached, and sending those to which a frame is in flight.
 	backoffs map[string]peerBackoff
 	sending  map[string]bool
@@ -230,6 +232,9 @@
 		gsp.log.Warn("cannot load the shared key of the daemons yet; will retry", logging.Error(err))
 		sleep(ctx, gsp.clk, keyRetryInterval)
 	}
+	var keeper sync.WaitGroup
+	keeper.Go(func() { gsp.keepKey(ctx) })
+	defer keeper.Wait()
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 		gsp.sendRound(ctx, sequence)
 		gsp.waitForRound(ctx)
@@ -360,6 +365,11 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	return errors.Trace(gsp.useKey(obj))
+}
+
+// useKey decodes the shared key of the daemons and uses it from now on.
+func (gsp *gossip) useKey(obj objects.Object) error {
 	var key sharedKey
 	if err := json.Unmarshal(obj.Value, &key); err != nil {
 		return errors.Annotate(err, "cannot decode the shared key of the daemons")
@@ -367,19 +377,62 @@
 	if len(key.Key) < keySize {
 		return errors.Errorf("the shared key of the daemons is too short: %d bytes", len(key.Key))
 	}
+	gsp.mu.Lock()
+	gsp.key = key.Key
+	gsp.mu.Unlock()
 	gsp.msh.SetKey(key.Key)
 	return nil
 }
 
+// keepKey writes the shared key again whenever the store was restored from a copy that lacks it, or uses the one that another
+// daemon wrote first, until ctx ends.
+func (gsp *gossip) keepKey(ctx context.Context) {
+	if gsp.set.Peers.Key != "" {
+		return
+	}
+	for era := gsp.pst.CurrentEra(); ctx.Err() == nil; {
+		next, ok := gsp.stc.awaitEraAfter(ctx, era)
+		if !ok {
+			return
+		}
+		if err := gsp.restoreKey(ctx); err != nil {
+			gsp.log.Warn("cannot store the shared key of the daemons again; will retry", logging.Error(err))
+			sleep(ctx, gsp.clk, keyRetryInterval)
+			continue
+		}
+		era = next
+	}
+}
+
+// restoreKey uses the stored key, or stores the known one if there is none.
+func (gsp *gossip) restoreKey(ctx context.Context) error {
+	obj, err := gsp.pst.Get(ctx, objects.KindSecret, keyObjectName)
+	if errors.Is(err, objects.ErrNotFound) {
+		gsp.mu.Lock()
+		key := gsp.key
+		gsp.mu.Unlock()
+		obj, err = gsp.storeKey(ctx, key)
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(gsp.useKey(obj))
+}
+
 // createKey writes a new key to the store unless one exists, and returns the stored one.
 func (gsp *gossip) createKey(ctx context.Context) (objects.Object, error) {
-	own := sharedKey{
-		Key: make([]byte, keySize),
-	}
-	if _, err := rand.Read(own.Key); err != nil {
+	key := make([]byte, keySize)
+	if _, err := rand.Read(key); err != nil {
 		return objects.Object{}, errors.Trace(err)
 	}
-	val, err := json.Marshal(own)
+	return gsp.storeKey(ctx, key)
+}
+
+// storeKey stores key as the shared key of the daemons unless there is one, and returns the object that is stored then.
+func (gsp *gossip) storeKey(ctx context.Context, key []byte) (objects.Object, error) {
+	val, err := json.Marshal(sharedKey{
+		Key: key,
+	})
 	if err != nil {
 		return objects.Object{}, errors.Trace(err)
 	}
