Store the quarantine again when a restored store has lost it

The lease holder compares what is quarantined with what it stored last, and took that to last. It now reads the object anew in each era, merges it and stores what is missing.

TestQuarantineIsStoredAgainAfterRestore failed before: not within 10 s.

--- a/internal/site/crashexchange.go
+++ b/internal/site/crashexchange.go
@@ -213,15 +213,16 @@
 // ends.
 func (cex *crashExchange) run(ctx context.Context) {
 	stored, version := blockedRecord{}, uint64(0)
-	loaded := false
+	loaded, loadedIn := false, uint64(0)
 	for ; ctx.Err() == nil; sleep(ctx, cex.clk, blockedInterval) {
-		if !loaded {
+		// A store that was restored from a copy may have lost what was stored.
+		if era := cex.pst.CurrentEra(); !loaded || era != loadedIn {
 			var err error
 			if stored, version, err = cex.load(ctx); err != nil {
 				cex.log.Warn("cannot load the blocked requests; will retry", logging.Error(err))
 				continue
 			}
-			loaded = true
+			loaded, loadedIn = true, era
 		}
 		if !cex.les.Held() {
 			continue
