Keep for a moment what a store lacks that was just restored

What callers would have seen: an evacuation, a backend server or a daemon that was written in the lost seconds vanished with the first list after the restore, until its writer wrote it again: requests went to a zone that was being emptied, and groups lost members that were well.

Cause: absence from a complete list counts as removal. In the first list of a later era it only says that the write may be lost. The copy now takes over what that list holds, keeps the rest, and is listed again after 2.5 s, the time in which entries of backend servers come back. Cost: one more list a kind, daemon and restore.

TestLostObjectsAreKeptUntilTheyCanBeWrittenAgain failed before at once.

--- a/internal/storesync/follower.go
+++ b/internal/storesync/follower.go
@@ -38,6 +38,8 @@
 	// watchResponseTime is the part of a watch's deadline that is left for the store's response; the store holds the call
 	// for the rest.
 	watchResponseTime = 500 * time.Millisecond
+	// rewriteTime is the time after a restore of the store from a copy within which its writers write again what it lost.
+	rewriteTime = 2500 * time.Millisecond
 )
 
 // Config configures a Follower.
@@ -85,6 +87,8 @@
 	gapSince time.Time
 	// listedAt is when the copy was last listed.
 	listedAt time.Time
+	// relistAt is when the copy must be listed again since the store was restored, zero if it need not be.
+	relistAt time.Time
 	// failingSince is when the first call failed since the store last responded, zero while it responds. recoveredAt is
 	// when the store last responded again after a failure.
 	failingSince time.Time
@@ -108,7 +112,9 @@
 	backoff := minBackoff
 	current := false
 	for ctx.Err() == nil {
-		if fol.awaitFeed(ctx) {
+		if fol.relistDue() {
+			current = false
+		} else if fol.awaitFeed(ctx) {
 			// The feed continued from the revision of this copy.
 			current = true
 			continue
@@ -159,7 +165,22 @@
 	return nil
 }
 
+// relistDue reports whether the store was restored rewriteTime ago and the copy has not been listed since.
+func (fol *Follower) relistDue() bool {
+	fol.mu.Lock()
+	defer fol.mu.Unlock()
+	return !fol.relistAt.IsZero() && !fol.clk.Now().Before(fol.relistAt)
+}
+
 func (fol *Follower) watch(ctx context.Context, since uint64) ([]objects.Object, uint64, error) {
+	fol.mu.Lock()
+	relistAt := fol.relistAt
+	fol.mu.Unlock()
+	if !relistAt.IsZero() {
+		bounded, cancel := context.WithTimeout(ctx, fol.clk.Until(relistAt)+watchResponseTime)
+		defer cancel()
+		ctx = bounded
+	}
 	if fol.cfg.FeedsEnabled() {
 		// A daemon that feeds others needs confirmations much younger than MaxAge, even while nothing changes.
 		bounded, cancel := context.WithTimeout(ctx, time.Duration(float64(fol.cfg.MaxAge)*watchTimeShare)+watchResponseTime)
@@ -277,11 +298,19 @@
 	return bat, true
 }
 
-// applyList replaces the copy. A stale list does not count as a confirmation by the store.
+// applyList replaces the copy. A stale list does not count as a confirmation by the store. What a store lacks that was just
+// restored stays in the copy, until its writers had the time to write it again.
 func (fol *Follower) applyList(objs []objects.Object, rev uint64, stale bool) {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
-	fol.apply(objs, true)
+	restored := fol.revision > 0 && objects.EraOf(rev) > objects.EraOf(fol.revision)
+	fol.apply(objs, !restored)
+	fol.relistAt = time.Time{}
+	if restored {
+		fol.relistAt = fol.clk.Now().Add(rewriteTime)
+		fol.log.Info("the store was restored; keeping what it lacks for now", zap.String("kind", fol.cfg.Kind),
+			zap.Uint64("revision", objects.RevisionOf(rev)), zap.Uint64("before", objects.RevisionOf(fol.revision)))
+	}
 	fol.revision = rev
 	fol.history = history{}
 	fol.history.add(delta{
