--- a/internal/site/storecache.go
+++ b/internal/site/storecache.go
@@ -322,7 +322,10 @@
 				continue
 			}
 		}
-		era, _ = stc.awaitEraAfter(ctx, era)
+		var ok bool
+		if era, ok = stc.awaitEraAfter(ctx, era); !ok {
+			return
+		}
 		_, err := stc.pst.Get(ctx, objects.KindDaemon, stc.set.Entry.Name)
 		isMissing = err != nil
 	}
