Let no restore of the store undo that a backend server leaves

Cause: an entry of the restored copy has a later version than what the daemon knew of the same process, though it is older. Draining of a process seen in an earlier era now stays. A process whose entry had been removed counts as draining for 5 s, after which an entry that nobody writes again has expired. Another process under the same ID is used at once.

--- a/internal/serverregistry/registry.go
+++ b/internal/serverregistry/registry.go
@@ -1,11 +1,14 @@
 package serverregistry
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cumintally/cumintally/internal/objects"
 )
 
 // Change is a new version of one entry, or its removal.
@@ -21,11 +24,21 @@
 	servers map[string]Server
 	// removedAt holds when the removal of an entry was seen, so that the planner can wait for the entry to return.
 	removedAt map[string]time.Time
-	// stopping holds the processes that announced that they are about to stop, and when this daemon received that.
+	// stopping holds the processes that are about to stop, and when this daemon learned of that.
 	stopping map[Process]time.Time
+	// removed holds the processes whose entries were removed. doubtful holds those whose entries came back by a restore of
+	// the store, and when an entry that is not written again has expired.
+	removed  map[Process]removal
+	doubtful map[Process]time.Time
 	view     atomic.Pointer[View]
 }
 
+// removal is the removal of an entry: its version, and when it was seen.
+type removal struct {
+	version uint64
+	at      time.Time
+}
+
 // Process identifies one process of a backend server: a restarted server keeps its ID and gets another start time.
 type Process struct {
 	_ struct{} `cbor:",toarray"`
@@ -52,6 +65,8 @@
 		servers:   map[string]Server{},
 		removedAt: map[string]time.Time{},
 		stopping:  map[Process]time.Time{},
+		removed:   map[Process]removal{},
+		doubtful:  map[Process]time.Time{},
 	}
 	reg.publish()
 	return reg
@@ -68,18 +83,43 @@
 	defer reg.mu.Unlock()
 	next := make(map[string]Server, len(srvs))
 	for _, srv := range srvs {
+		reg.recordRestored(srv, now)
 		next[srv.ID] = srv
 		delete(reg.removedAt, srv.ID)
 	}
-	for id := range reg.servers {
+	for id, srv := range reg.servers {
 		if _, ok := next[id]; !ok {
-			reg.removedAt[id] = now
+			reg.recordRemoval(srv, srv.Version, now)
 		}
 	}
 	reg.servers = next
 	reg.publish()
 }
 
+// recordRemoval records the removal of an entry. The caller holds the lock.
+func (reg *Registry) recordRemoval(srv Server, version uint64, now time.Time) {
+	reg.removedAt[srv.ID] = now
+	reg.removed[srv.Process()] = removal{
+		version: version,
+		at:      now,
+	}
+}
+
+// recordRestored compares an entry with what was known of its process in earlier eras of the store. The entry may come from a
+// copy that is older than that: a process that was draining still is, and one whose entry had been removed is used only
+// once the entry has not expired again. The caller holds the lock.
+func (reg *Registry) recordRestored(srv Server, now time.Time) {
+	prc := srv.Process()
+	era := objects.EraOf(srv.Version)
+	if old, ok := reg.servers[srv.ID]; ok && old.Process() == prc && old.Draining && objects.EraOf(old.Version) < era {
+		reg.stopping[prc] = now
+	}
+	if rmv, ok := reg.removed[prc]; ok && objects.EraOf(rmv.version) < era {
+		delete(reg.removed, prc)
+		reg.doubtful[prc] = now.Add(expiryTime)
+	}
+}
+
 // Apply applies changes in the order in which they were made. It ignores changes that are older than the copy.
 func (reg *Registry) Apply(chgs []Change, now time.Time) {
 	if len(chgs) == 0 {
@@ -93,13 +133,14 @@
 			continue
 		}
 		if !chg.Removed {
+			reg.recordRestored(chg.Server, now)
 			reg.servers[id] = chg.Server
 			delete(reg.removedAt, id)
 			continue
 		}
-		if _, ok := reg.servers[id]; ok {
+		if old, ok := reg.servers[id]; ok {
 			delete(reg.servers, id)
-			reg.removedAt[id] = now
+			reg.recordRemoval(old, chg.Server.Version, now)
 		}
 	}
 	reg.publish()
@@ -123,9 +164,26 @@
 	return true
 }
 
-// stoppingRetention is the time after which a process that announced its stop has certainly stopped, so that it can be
-// forgotten. It exceeds the lifetime of any entry.
-const stoppingRetention = 10 * time.Minute
+// Expire uses those processes again whose entries came back by a restore and have not expired since.
+func (reg *Registry) Expire(now time.Time) {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	maps.DeleteFunc(reg.removed, func(_ Process, rmv removal) bool { return now.Sub(rmv.at) > removedRetention })
+	before := len(reg.doubtful)
+	maps.DeleteFunc(reg.doubtful, func(_ Process, until time.Time) bool { return !now.Before(until) })
+	if len(reg.doubtful) < before {
+		reg.publish()
+	}
+}
+
+const (
+	// stoppingRetention is the time after which a process that announced its stop has certainly stopped, so that it can be
+	// forgotten. It exceeds the lifetime of any entry.
+	stoppingRetention = 10 * time.Minute
+	// expiryTime is the time after which the entry of a process that writes no more has expired: three heartbeats and the
+	// time until the removal is known.
+	expiryTime = 5 * time.Second
+)
 
 // removedRetention is the time after which a removed entry is forgotten. Groups are repaired long before that.
 const removedRetention = time.Minute
@@ -154,9 +212,9 @@
 	}
 	for id := range reg.servers {
 		srv := reg.servers[id]
-		if _, ok := reg.stopping[srv.Process()]; ok {
-			srv.Draining = true
-		}
+		_, stopping := reg.stopping[srv.Process()]
+		_, doubtful := reg.doubtful[srv.Process()]
+		srv.Draining = srv.Draining || stopping || doubtful
 		viw.servers[id] = &srv
 		viw.services[srv.Service] = append(viw.services[srv.Service], &srv)
 		if srv.Membership.State != NoGroup && srv.Membership.State != Joining {
--- a/internal/site/storecache.go
+++ b/internal/site/storecache.go
@@ -568,6 +568,7 @@
 
 // trim updates the registered addresses and drops the health state of backend servers that are no longer registered.
 func (stc *storeCache) trim() {
+	stc.registry.Expire(stc.clk.Now())
 	viw := stc.registry.View()
 	adrs := viw.Addresses()
 	stc.mu.Lock()
