State in refusals how many servers send to other daemons

A daemon that has lost its path to the servers refuses requests in the same words as one whose servers are dead. The refusal now counts the candidates that have just sent bytes to other daemons.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -213,8 +213,20 @@
 		Candidates: len(candidates),
 		ResumesIn:  resumesIn,
 	}
-	return pck, errors.Annotatef(ErrNoServer, "service %s, model %q: %d registered, %d candidates, %d cold beyond their rate or failing, next one back in %v",
-		request.Service.Name, request.Model, len(plm.deps.Registrations().Service(request.Service.Name)), len(candidates), len(candidates), resumesIn.Round(time.Millisecond))
+	return pck, errors.Annotatef(ErrNoServer, "service %s, model %q: %d registered, %d candidates cold beyond their rate or failing, %d of them send to other daemons, next one back in %v",
+		request.Service.Name, request.Model, len(plm.deps.Registrations().Service(request.Service.Name)), len(candidates),
+		sendingToOthers(loads), resumesIn.Round(time.Millisecond))
+}
+
+// sendingToOthers returns the number of backend servers that have just sent bytes to another daemon.
+func sendingToOthers(loads map[string]knownLoad) int {
+	num := 0
+	for _, knl := range loads {
+		if knl.others.Requests > 0 && knl.others.SinceLastByte <= stallTimeout {
+			num++
+		}
+	}
+	return num
 }
 
 // tooLate reports whether the first token is forecast so late that the request is not worth sending.
