--- a/internal/site/gossip.go
+++ b/internal/site/gossip.go
@@ -126,7 +126,7 @@
 		Address:          cmp.Or(set.Listen.AdvertisePeers, set.Listen.Peers),
 	}
 	msh := peer.New(ide, []byte(set.Peers.Key), met, log)
-	msh.Dial = dial
+	msh.Dial = Dial
 	return msh
 }
 
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -72,8 +72,11 @@
 // about the time after which callers abandon a stream without events.
 const unackedTimeout = 2 * time.Second
 
-// dial opens a connection that the kernel aborts when sent bytes stay unacknowledged for unackedTimeout.
-func dial(ctx context.Context, network, adr string) (net.Conn, error) {
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial opens a connection that the kernel aborts when sent bytes stay unacknowledged for two seconds.
+func Dial(ctx context.Context, network, adr string) (net.Conn, error) {
 	dlr := net.Dialer{
 		KeepAlive: -1,
 		Control:   socket.UserTimeout(unackedTimeout),
@@ -87,7 +90,7 @@
 			DialContext: func(ctx context.Context, network, adr string) (net.Conn, error) {
 				ctx, cancel := context.WithTimeout(ctx, storeDialTimeout)
 				defer cancel()
-				return dial(ctx, network, adr)
+				return Dial(ctx, network, adr)
 			},
 			MaxIdleConnsPerHost: 8,
 			DisableCompression:  true,
@@ -100,8 +103,8 @@
 	return platform.NewStore(set.Platform.Address, htc, set.Platform.Timeout, storeMetrics, log).Objects()
 }
 
-func newPool(clk clockwork.Clock, met metrics.Registry) *upstream.Pool {
-	return upstream.New(dial, clk, metrics.GetOrRegisterCounter("UpstreamConnections", met))
+func newPool(dialServer DialFunc, clk clockwork.Clock, met metrics.Registry) *upstream.Pool {
+	return upstream.New(dialServer, clk, metrics.GetOrRegisterCounter("UpstreamConnections", met))
 }
 
 func newColdLimiter(stc *storeCache) *coldlimit.Limiter {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -55,10 +55,10 @@
 	Mesh       *peer.Mesh
 }
 
-// New assembles a daemon from its settings.
-func New(set *settings.Settings, log *zap.Logger) (*Daemon, error) {
+// New assembles a daemon from its settings. It connects to backend servers by dialServer, usually Dial.
+func New(set *settings.Settings, log *zap.Logger, dialServer DialFunc) (*Daemon, error) {
 	ctn := dig.New()
-	supply := func() (*settings.Settings, *zap.Logger) { return set, log }
+	supply := func() (*settings.Settings, *zap.Logger, DialFunc) { return set, log, dialServer }
 	for _, prv := range append([]any{supply}, providers...) {
 		if err := ctn.Provide(prv); err != nil {
 			return nil, errors.Trace(err)
--- a/internal/verb/entry.go
+++ b/internal/verb/entry.go
@@ -73,7 +73,7 @@
 		if set.Site.MemoryLimit > 0 {
 			debug.SetMemoryLimit(int64(set.Site.MemoryLimit * memoryLimitShare * (1 << 20)))
 		}
-		ste, err := site.New(set, log)
+		ste, err := site.New(set, log, site.Dial)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
