Connect to backend servers through other daemons where the own path is lost

Cause: a daemon judges servers by its own connections alone, so that a lost path looks like the death of every server. The class is evidence by one observer taken for the state of what it observes.

Ruled out: kept connections alone (new ones failed as well), words of the other daemons (those served everything).

When a connection fails or a server stalls, the daemon probes the servers that requests go to, and some that do not respond through peers. Servers that only peers reach count as cut off: connections to them go through a peer as a tunnel of bytes over a WebSocket, one for each request, until a probe reaches them again. The life of a request stays where it was accepted, so that retries, limits and at-most-once hold as they are; a peer only connects directly, so that there are no loops. A tunnel tells a regular end, a server that broke off, and a broken tunnel apart; the last is no sign that a request crashes servers. Orders to engines go the same way.

Weighed: forwarding whole requests (two daemons would decide on limits, retries and what may be said of the outcome); failing readiness (takes two misses, and moves nobody when all of a zone are cut off); rejecting at once (serves nobody).

--- a/internal/outlier/tracker.go
+++ b/internal/outlier/tracker.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// EndEjection ends the ejection of a server and forgets its failures.
+func (trk *Tracker) EndEjection(server string) {
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	rec := trk.record(server)
+	rec.failureShare = 0
+	rec.ejectedUntil = time.Time{}
+	rec.ejectionTime = 0
+}
+
 func (rec *record) eject(now time.Time) {
 	rec.ejectionTime = min(max(2*rec.ejectionTime, minEjection), maxEjection)
 	rec.ejectedUntil = now.Add(rec.ejectionTime)
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -37,6 +37,9 @@
 type Mesh struct {
 	// Dial opens connections to peers. It defaults to a net.Dialer and must not change after the first call.
 	Dial func(ctx context.Context, network, adr string) (net.Conn, error)
+	// DialTarget connects to the target of a peer's tunnel. It is nil for a daemon that accepts no tunnels, and must not
+	// change after the mesh serves connections.
+	DialTarget func(ctx context.Context, address string) (net.Conn, error)
 
 	self       Identity
 	key        []byte
@@ -45,6 +48,10 @@
 
 	bytesSent     metrics.Counter
 	bytesReceived metrics.Counter
+	tunnelsOpened metrics.Counter
+	tunnelsServed metrics.Counter
+
+	tunnels tunnels
 
 	mu             sync.Mutex
 	handlers       map[string]Handler
@@ -65,6 +72,8 @@
 		log:            log.Named("peer"),
 		bytesSent:      metrics.GetOrRegisterCounter("PeerBytesSent", registry),
 		bytesReceived:  metrics.GetOrRegisterCounter("PeerBytesReceived", registry),
+		tunnelsOpened:  metrics.GetOrRegisterCounter("PeerTunnelsOpened", registry),
+		tunnelsServed:  metrics.GetOrRegisterCounter("PeerTunnelsServed", registry),
 		handlers:       map[string]Handler{},
 		streamHandlers: map[string]StreamHandler{},
 		outgoing:       map[string]*link{},
@@ -229,8 +238,12 @@
 	msh.mu.Unlock()
 }
 
-// ServeHTTP accepts a connection of a peer.
+// ServeHTTP accepts a connection or a tunnel of a peer.
 func (msh *Mesh) ServeHTTP(rsw http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == TunnelPath {
+		msh.serveTunnel(rsw, req)
+		return
+	}
 	con, err := websocket.Accept(rsw, req, &websocket.AcceptOptions{
 		CompressionMode: websocket.CompressionDisabled,
 	})
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -213,7 +213,9 @@
 		Candidates: len(candidates),
 		ResumesIn:  resumesIn,
 	}
-	return pck, errors.Annotatef(ErrNoServer, "service %s, model %q: %d registered, %d candidates cold beyond their rate or failing, %d of them send to other daemons, next one back in %v",
+	const format = "service %s, model %q: %d registered, %d candidates cold beyond their rate or failing, " +
+		"%d of them send to other daemons, next one back in %v"
+	return pck, errors.Annotatef(ErrNoServer, format,
 		request.Service.Name, request.Model, len(plm.deps.Registrations().Service(request.Service.Name)), len(candidates),
 		sendingToOthers(loads), resumesIn.Round(time.Millisecond))
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -284,6 +284,7 @@
 	switch {
 	case watch.stalled():
 		run.relay.requestMetrics.stalledStreams.Inc(1)
+		run.relay.deps.SuspectPath()
 		if run.service.Engine == nil {
 			// For a plain service, one lost response says nothing about other requests to the server.
 			run.relay.outliers.RecordFailure(server, now)
@@ -291,7 +292,7 @@
 			run.relay.outliers.Eject(server, now)
 		}
 		return errors.Annotate(err, "no progress")
-	case ctx.Err() == nil:
+	case ctx.Err() == nil && !errors.Is(err, upstream.ErrPathBroken):
 		run.relay.outliers.RecordFailure(server, now)
 		if !run.hasSettled(now) {
 			run.relay.deps.ReportCrash(Crash{
--- a/internal/serverregistry/registry.go
+++ b/internal/serverregistry/registry.go
@@ -272,6 +272,28 @@
 	return nil, false
 }
 
+// ServerAt returns the backend server at an address.
+func (viw *View) ServerAt(address string) (*Server, bool) {
+	for _, srv := range viw.servers {
+		if srv.Address == address {
+			return srv, true
+		}
+	}
+	return nil, false
+}
+
+// Serving returns the backend servers that requests are sent to: those of plain services and the heads of open groups.
+func (viw *View) Serving() []*Server {
+	var srvs []*Server
+	for _, srv := range viw.servers {
+		isEngine := srv.FabricDomain != ""
+		if !isEngine || (srv.Membership.State == Open && srv.Membership.Rank == 0) {
+			srvs = append(srvs, srv)
+		}
+	}
+	return srvs
+}
+
 // Addresses returns the addresses of all backend servers.
 func (viw *View) Addresses() map[string]bool {
 	adrs := make(map[string]bool, len(viw.servers))
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -30,6 +30,7 @@
 	"github.com/cumintally/cumintally/internal/relay"
 	"github.com/cumintally/cumintally/internal/retrybudget"
 	"github.com/cumintally/cumintally/internal/serverlimit"
+	"github.com/cumintally/cumintally/internal/serverpath"
 	"github.com/cumintally/cumintally/internal/serverregistry"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/sitecontrol"
@@ -56,6 +57,7 @@
 	loadview.New,
 	demand.New,
 	newMesh,
+	newServerPaths,
 	newCrashExchange,
 	newGossip,
 	newPlacement,
@@ -136,6 +138,7 @@
 	trk *outlier.Tracker,
 	cold *coldlimit.Limiter,
 	lim *serverlimit.Limiter,
+	sel *serverpath.Selector,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *placement.Placement {
@@ -158,6 +161,7 @@
 			log.Named("placement").Info("an engine sends nothing although responses are due; ejecting it for a while",
 				zap.String("server", all.Server), zap.Int("requests", all.Requests),
 				zap.Duration("quiet", all.SinceLastByte), zap.Duration("waiting", all.ResponseDueFor))
+			sel.Suspect()
 		},
 	}
 	return placement.New(cfg, dps, trk, cold, lim, clk)
@@ -166,7 +170,7 @@
 func newRelay(
 	stc *storeCache,
 	plm *placement.Placement,
-	pol *upstream.Pool,
+	sel *serverpath.Selector,
 	bud *retrybudget.Budget,
 	qua *quarantine.Quarantine,
 	cex *crashExchange,
@@ -182,7 +186,8 @@
 	dps := relay.Dependencies{
 		Table:         stc.activeTable,
 		Choose:        plm.Choose,
-		Connect:       pol.Get,
+		Connect:       sel.Connect,
+		SuspectPath:   sel.Suspect,
 		RecordRequest: bud.RecordRequest,
 		TakeRetry:     bud.TakeRetry,
 		RecordDemand: func(req placement.Request, now time.Time) {
@@ -228,7 +233,7 @@
 func newSiteController(
 	set *settings.Settings,
 	stc *storeCache,
-	pol *upstream.Pool,
+	sel *serverpath.Selector,
 	rly *relay.Relay,
 	gsp *gossip,
 	mtr *demand.Meter,
@@ -259,7 +264,7 @@
 		},
 		BeforeFirstRequest: func() bool { return set.Site.FirstStart && !rly.HasServedRequests() },
 		SendOrder: func(ctx context.Context, ord orderplan.Order, fence uint64) error {
-			ver, err := sendOrder(ctx, pol, ord, fence)
+			ver, err := sendOrder(ctx, sel, ord, fence)
 			if srv, ok := stc.registry.View().Server(ord.Server); ok && ver.Stopping {
 				gsp.broadcastStopping(srv.Process())
 			}
@@ -280,12 +285,12 @@
 
 // sendOrder sends an order to an engine. It returns the engine's state as read from its response, and an error if the
 // order was not accepted.
-func sendOrder(ctx context.Context, pol *upstream.Pool, ord orderplan.Order, fence uint64) (relay.ResponseHeaders, error) {
+func sendOrder(ctx context.Context, sel *serverpath.Selector, ord orderplan.Order, fence uint64) (relay.ResponseHeaders, error) {
 	call, err := platform.EncodeOrder(ord, fence)
 	if err != nil {
 		return relay.ResponseHeaders{}, errors.Trace(err)
 	}
-	con, err := pol.Get(ctx, ord.Address)
+	con, err := sel.Connect(ctx, ord.Address)
 	if err != nil {
 		return relay.ResponseHeaders{}, errors.Trace(err)
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -107,6 +107,9 @@
 	dmn.dep.Log.Named("site").Info("daemon is stopping", zap.Duration("notice", set.StopNotice), zap.Int("inProgress", dmn.dep.Relay.InFlight()))
 	drain, cancel := context.WithTimeout(ctx, set.DrainTimeout)
 	defer cancel()
+	var tunnels sync.WaitGroup
+	tunnels.Go(func() { dmn.dep.Mesh.StopTunnels(drain) })
+	defer tunnels.Wait()
 	dmn.dep.StoreCache.failReadiness()
 	dmn.dep.Relay.Drain()
 	dmn.dep.Clock.Sleep(set.StopNotice)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -91,7 +91,7 @@
 				Response:   res,
 				conn:       con,
 				stopCancel: stop,
-				reusable:   !res.Close && !closeDelimited(res),
+				reusable:   !con.singleUse && !res.Close && !closeDelimited(res),
 			}, nil
 		}
 		// This is a late duplicate response to an earlier request; the response to this request follows it.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"maps"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,6 +21,8 @@
 	ErrNotSent = errors.ConstError("upstream: request not sent")
 	// ErrBroken means that the connection failed after bytes of the request may have reached the backend server.
 	ErrBroken = errors.ConstError("upstream: connection broken")
+	// ErrPathBroken means that what broke is known to be the path to the backend server.
+	ErrPathBroken = errors.ConstError("upstream: path to the backend server broken")
 )
 
 const (
@@ -43,6 +48,13 @@
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
+	// lastReads holds when bytes last arrived on any connection that the pool dialed, by address.
+	lastReads map[string]*lastRead
+}
+
+// lastRead is a time in nanoseconds since the Unix epoch.
+type lastRead struct {
+	atomic.Int64
 }
 
 // Conn is one connection; one request at a time uses it.
@@ -56,6 +68,8 @@
 	idleSince   time.Time
 	// reused is set once a request has been answered on the connection.
 	reused bool
+	// singleUse is set if the connection serves one request only.
+	singleUse bool
 }
 
 // New returns an empty pool that counts new connections in dialed.
@@ -65,20 +79,15 @@
 		clock:  clock,
 		dialed: dialed,
 		idle:   map[string][]*Conn{},
+
+		lastReads: map[string]*lastRead{},
 	}
 }
 
 // Get returns an idle connection to address that is still open, or dials a new one. Errors are ErrNotSent.
 func (pol *Pool) Get(ctx context.Context, address string) (*Conn, error) {
-	for {
-		con := pol.takeIdle(address)
-		if con == nil {
-			break
-		}
-		if pol.clock.Since(con.idleSince) < con.idleTimeout && con.isIdle() {
-			return con, nil
-		}
-		con.Close()
+	if con, ok := pol.GetIdle(address); ok {
+		return con, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -87,8 +96,37 @@
 		return nil, errors.WithType(errors.Annotatef(err, "connect to %s", address), ErrNotSent)
 	}
 	pol.dialed.Inc(1)
-	lmt := &headLimiter{
+	return pol.newConn(raw, address, &timedReader{
 		Reader: raw,
+		clock:  pol.clock,
+		last:   pol.lastReadOf(address),
+	}), nil
+}
+
+// GetIdle returns an idle connection to address that is still open, and false if there is none.
+func (pol *Pool) GetIdle(address string) (*Conn, bool) {
+	for {
+		con := pol.takeIdle(address)
+		if con == nil {
+			return nil, false
+		}
+		if pol.clock.Since(con.idleSince) < con.idleTimeout && con.isIdle() {
+			return con, true
+		}
+		con.Close()
+	}
+}
+
+// SingleUse returns a connection for one request over raw, a connection to address that the pool has not dialed.
+func (pol *Pool) SingleUse(raw net.Conn, address string) *Conn {
+	con := pol.newConn(raw, address, raw)
+	con.singleUse = true
+	return con
+}
+
+func (pol *Pool) newConn(raw net.Conn, address string, rdr io.Reader) *Conn {
+	lmt := &headLimiter{
+		Reader: rdr,
 	}
 	return &Conn{
 		Conn:        raw,
@@ -97,7 +135,55 @@
 		headLimit:   lmt,
 		reader:      bufio.NewReaderSize(lmt, readBufferSize),
 		idleTimeout: defaultIdleTimeout,
-	}, nil
+	}
+}
+
+// timedReader records when bytes arrive.
+type timedReader struct {
+	io.Reader
+	clock clockwork.Clock
+	last  *lastRead
+}
+
+// Read records the time if it returns bytes.
+func (trd *timedReader) Read(buf []byte) (int, error) {
+	num, err := trd.Reader.Read(buf)
+	if num > 0 {
+		trd.last.Store(trd.clock.Now().UnixNano())
+	}
+	return num, err
+}
+
+func (pol *Pool) lastReadOf(address string) *lastRead {
+	pol.mu.Lock()
+	defer pol.mu.Unlock()
+	last, ok := pol.lastReads[address]
+	if !ok {
+		last = &lastRead{}
+		pol.lastReads[address] = last
+	}
+	return last
+}
+
+// LastRead returns when bytes last arrived on any connection to address that the pool dialed.
+func (pol *Pool) LastRead(address string) time.Time {
+	pol.mu.Lock()
+	defer pol.mu.Unlock()
+	last, ok := pol.lastReads[address]
+	if !ok {
+		return time.Time{}
+	}
+	return time.Unix(0, last.Load())
+}
+
+// CloseIdle closes the idle connections to address.
+func (pol *Pool) CloseIdle(address string) {
+	pol.mu.Lock()
+	defer pol.mu.Unlock()
+	for _, con := range pol.idle[address] {
+		con.Close()
+	}
+	delete(pol.idle, address)
 }
 
 func (pol *Pool) takeIdle(adr string) *Conn {
@@ -128,6 +214,7 @@
 func (pol *Pool) Trim(keep func(adr string) bool) {
 	pol.mu.Lock()
 	defer pol.mu.Unlock()
+	maps.DeleteFunc(pol.lastReads, func(adr string, _ *lastRead) bool { return !keep(adr) })
 	for adr, cons := range pol.idle {
 		var left []*Conn
 		for _, con := range cons {
