Answer requests that come late in a planned stop, and those at its end

Report of another operator: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

It could happen here: a request whose body was still being read when the stop notice ended was passed on whenever it was complete, and one that was still in progress at the drain timeout, which is the whole grace, was cut by the kill. A request on a connection that was opened before was closed without an answer.

After the stop notice the relay rejects requests as not run, also those whose body arrives only then, and the listeners stay open while others are in progress, so that each gets its answer. 0.5 s before the drain timeout, what is still in progress ends with the answer that is true for it.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,14 +38,22 @@
 	clock          clockwork.Clock
 	logger         *zap.Logger
 
-	draining atomic.Bool
+	draining  atomic.Bool
+	rejecting atomic.Bool
+	// ended is done once the requests in progress must end, and end makes it so.
+	ended context.Context
+	end   context.CancelFunc
+
 	mu       sync.Mutex
 	inFlight int
 }
 
 // New returns a relay whose counters and latency histograms are registered in registry.
 func New(format HeaderFormat, deps Dependencies, outliers *outlier.Tracker, registry metrics.Registry, clock clockwork.Clock, logger *zap.Logger) *Relay {
+	ended, end := context.WithCancel(context.Background())
 	return &Relay{
+		ended:          ended,
+		end:            end,
 		format:         format,
 		deps:           deps,
 		outliers:       outliers,
@@ -75,6 +83,8 @@
 	}
 	ctx, cancel := context.WithDeadline(request.Context(), run.deadline)
 	defer cancel()
+	stop := context.AfterFunc(rly.ended, cancel)
+	defer stop()
 	run.serve(ctx)
 }
 
@@ -102,6 +112,16 @@
 	rly.draining.Store(true)
 }
 
+// RejectNew makes the relay reject further requests, also those whose body is still being read: they could not be completed.
+func (rly *Relay) RejectNew() {
+	rly.rejecting.Store(true)
+}
+
+// End ends all requests in progress with the response that is true for each of them.
+func (rly *Relay) End() {
+	rly.end()
+}
+
 // admit determines the route, workspace and service of a request and reads its body. It returns the refusal if the
 // request is invalid or cannot be served.
 func (run *run) admit() *refusal.Refusal {
@@ -135,6 +155,9 @@
 	if ref := run.readBody(tbl.Config.Limits); ref != nil {
 		return ref
 	}
+	if rly.rejecting.Load() {
+		return refusal.Unavailable("this daemon is stopping", run.retryAfter())
+	}
 	name := rte.ChooseTarget(rand.Float64())
 	if run.service, ok = tbl.Service(name); !ok {
 		return refusal.Unavailable("service "+name+" is not configured", run.retryAfter())
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -28,6 +28,10 @@
 	// connection may be idle. Both exceed the limits that configurations set, so that no client is disconnected early.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 60 * time.Second
+	// endTime is the part of the drain timeout that is left for the responses to requests that are ended.
+	endTime = 500 * time.Millisecond
+	// inFlightCheckInterval is the time between two checks whether requests are in progress.
+	inFlightCheckInterval = 20 * time.Millisecond
 	// trimInterval is the time between two removals of idle connections and of the state of backend servers that are no
 	// longer registered.
 	trimInterval = time.Second
@@ -101,11 +105,12 @@
 }
 
 // stop drains the daemon without interrupting requests in progress, up to the drain timeout. Readiness fails first;
-// until the load balancer has noticed, new requests are still served, each as the last one of its connection.
+// until the load balancer has noticed, new requests are still served, each as the last one of its connection. Later ones,
+// on connections that were open before, are rejected, and those still in progress at the end get a response, too.
 func (dmn *Daemon) stop(ctx context.Context, servers []*http.Server) {
 	set := dmn.dep.Settings.Requests
 	dmn.dep.Log.Named("site").Info("daemon is stopping", zap.Duration("notice", set.StopNotice), zap.Int("inProgress", dmn.dep.Relay.InFlight()))
-	drain, cancel := context.WithTimeout(ctx, set.DrainTimeout)
+	drain, cancel := context.WithTimeout(ctx, set.DrainTimeout-endTime)
 	defer cancel()
 	var tunnels sync.WaitGroup
 	tunnels.Go(func() { dmn.dep.Mesh.StopTunnels(drain) })
@@ -113,10 +118,20 @@
 	dmn.dep.StoreCache.failReadiness()
 	dmn.dep.Relay.Drain()
 	dmn.dep.Clock.Sleep(set.StopNotice)
+	dmn.dep.Relay.RejectNew()
+	// While the servers shut down, they close connections on which a request arrives without any response.
+	for dmn.dep.Relay.InFlight() > 0 && drain.Err() == nil {
+		sleep(drain, dmn.dep.Clock, inFlightCheckInterval)
+	}
+	if num := dmn.dep.Relay.InFlight(); num > 0 {
+		dmn.dep.Log.Named("site").Error("ending requests that were still in progress at the end of the drain timeout", zap.Int("inProgress", num))
+		dmn.dep.Relay.End()
+	}
+	end, cancel := context.WithTimeout(ctx, endTime)
+	defer cancel()
 	for _, srv := range servers {
-		if err := srv.Shutdown(drain); err != nil {
-			dmn.dep.Log.Named("site").Error("requests were still in progress at the end of the drain timeout",
-				zap.Int("inProgress", dmn.dep.Relay.InFlight()), logging.Error(err))
+		if err := srv.Shutdown(end); err != nil {
+			dmn.dep.Log.Named("site").Error("requests could not be ended", zap.Int("inProgress", dmn.dep.Relay.InFlight()), logging.Error(err))
 		}
 	}
 }
