--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -161,3 +162,20 @@
 	qt.Check(t, errors.Is(err, peer.ErrRemote), qt.IsTrue, qt.Commentf("%v", err))
 	qt.Check(t, dialed, qt.Equals, 0)
 }
+
+// Guards against a request that waits for a daemon of an earlier version: it takes a tunnel for a connection of frames.
+func TestEarlierVersionRefusesTunnelAtOnce(t *testing.T) {
+	msh := newMesh(t, "server", "key")
+	srv := httptest.NewServer(http.HandlerFunc(func(rsw http.ResponseWriter, req *http.Request) {
+		req.URL.Path = peer.Path
+		msh.ServeHTTP(rsw, req)
+	}))
+	defer srv.Close()
+	defer msh.Close()
+	cli := newMesh(t, "client", "key")
+	defer cli.Close()
+	start := time.Now()
+	_, err := cli.Tunnel(t.Context(), strings.TrimPrefix(srv.URL, "http://"), "127.0.0.1:1")
+	qt.Check(t, err, qt.IsNotNil)
+	qt.Check(t, time.Since(start) < time.Second, qt.IsTrue)
+}
--- a/internal/site/mixed_versions_test.go
+++ b/internal/site/mixed_versions_test.go
@@ -17,6 +17,7 @@
 	"github.com/cumintally/cumintally/internal/lease"
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/objects"
+	"github.com/cumintally/cumintally/internal/promptcrash"
 	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/rejections"
 	"github.com/cumintally/cumintally/internal/serverregistry"
@@ -25,21 +26,43 @@
 )
 
 // Guards against daemons of two versions that refuse each other's messages or stored objects while VMs are upgraded one after the
-// other. The files were written by version 9e28f13. A message that it wrote must be read, and one that this version writes
-// must be the same: an array with one more field would be refused whole.
+// other. The files were written by the versions after which their folders are named. What they wrote must be read, and what
+// this version writes must be the same: an array with one more field would be refused whole.
 func TestVersionsReadEachOther(tst *testing.T) {
-	dir := filepath.Join("testdata", "9e28f13")
-	text, err := os.ReadFile(filepath.Join(dir, "gossip.hex"))
+	for _, version := range []string{"9e28f13", "0bdfa84"} {
+		tst.Run(version, func(tst *testing.T) {
+			dir := filepath.Join("testdata", version)
+			checkMessage(tst, filepath.Join(dir, "gossip.hex"), exampleMessage())
+			objs := exampleObjects()
+			if version != "9e28f13" {
+				// That version did not write these yet.
+				checkMessage(tst, filepath.Join(dir, "crashes.hex"), exampleCrashes())
+				objs[objects.KindQuarantine] = exampleBlocked()
+			}
+			checkObjects(tst, dir, objs)
+		})
+	}
+}
+
+// checkMessage checks that a message in a file is read as val, and that this version writes val in the same bytes.
+func checkMessage[T any](tst *testing.T, path string, val T) {
+	tst.Helper()
+	text, err := os.ReadFile(path)
 	qt.Assert(tst, err, qt.IsNil)
 	written, err := hex.DecodeString(string(text[:len(text)-1]))
 	qt.Assert(tst, err, qt.IsNil)
-	var msg gossipMessage
-	qt.Assert(tst, cbor.Unmarshal(written, &msg), qt.IsNil)
-	qt.Assert(tst, reflect.DeepEqual(msg, exampleMessage()), qt.IsTrue)
-	data, err := cbor.Marshal(exampleMessage())
+	var got T
+	qt.Assert(tst, cbor.Unmarshal(written, &got), qt.IsNil)
+	qt.Assert(tst, reflect.DeepEqual(got, val), qt.IsTrue)
+	data, err := cbor.Marshal(val)
 	qt.Assert(tst, err, qt.IsNil)
 	qt.Assert(tst, data, qt.DeepEquals, written)
-	for kind, val := range exampleObjects() {
+}
+
+// checkObjects checks that stored objects in a folder are read as objs, and that this version writes them in the same way.
+func checkObjects(tst *testing.T, dir string, objs map[string]any) {
+	tst.Helper()
+	for kind, val := range objs {
 		written, err := os.ReadFile(filepath.Join(dir, kind+".json"))
 		qt.Assert(tst, err, qt.IsNil)
 		got := reflect.New(reflect.TypeOf(val))
@@ -207,3 +230,61 @@
 		},
 	}
 }
+
+// exampleCrashes returns a message on crashes in which every field is set.
+func exampleCrashes() crashMessage {
+	return crashMessage{
+		Crashes: []promptcrash.Crash{
+			exampleCrash(),
+		},
+		Survivals: []promptcrash.Survival{
+			{
+				Model: "large",
+				Parts: []string{"c"},
+				Age:   time.Millisecond,
+			},
+		},
+		Blocked: []promptcrash.Combination{
+			exampleCombination(),
+		},
+	}
+}
+
+func exampleCrash() promptcrash.Crash {
+	return promptcrash.Crash{
+		Model:   "large",
+		Parts:   []string{"a", "b"},
+		Request: "0011",
+		Event:   "vm-1/5",
+		Age:     time.Second,
+		SentAge: 2 * time.Second,
+	}
+}
+
+func exampleCombination() promptcrash.Combination {
+	return promptcrash.Combination{
+		Model: "large",
+		Parts: []string{"a"},
+		Age:   time.Minute,
+	}
+}
+
+// exampleBlocked returns the stored quarantine with every field set.
+func exampleBlocked() blockedRecord {
+	return blockedRecord{
+		SavedAt: 23,
+		Combinations: []promptcrash.Combination{
+			exampleCombination(),
+		},
+		Requests: []quarantine.Crash{
+			{
+				Fingerprint: "0011",
+				Event:       "vm-1/5",
+				Age:         time.Second,
+			},
+		},
+		Crashes: []promptcrash.Crash{
+			exampleCrash(),
+		},
+	}
+}
