Forget that an entry was removed once it is back

Read in review: the removal of an entry was remembered for a minute, also after the server had registered again, so that a restore in that time made a sound server count as draining for 5 s; and a removal that a complete list showed counted as one of the era before. The case 'had been removed and was back before' failed before.

--- a/internal/serverregistry/registry.go
+++ b/internal/serverregistry/registry.go
@@ -82,14 +82,15 @@
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	next := make(map[string]Server, len(srvs))
+	latest := uint64(0)
 	for _, srv := range srvs {
-		reg.recordRestored(srv, now)
+		reg.recordRegistration(srv, now)
 		next[srv.ID] = srv
-		delete(reg.removedAt, srv.ID)
+		latest = max(latest, srv.Version)
 	}
 	for id, srv := range reg.servers {
 		if _, ok := next[id]; !ok {
-			reg.recordRemoval(srv, srv.Version, now)
+			reg.recordRemoval(srv, latest, now)
 		}
 	}
 	reg.servers = next
@@ -100,24 +101,25 @@
 func (reg *Registry) recordRemoval(srv Server, version uint64, now time.Time) {
 	reg.removedAt[srv.ID] = now
 	reg.removed[srv.Process()] = removal{
-		version: version,
+		version: max(version, srv.Version),
 		at:      now,
 	}
 }
 
-// recordRestored compares an entry with what was known of its process in earlier eras of the store. The entry may come from a
-// copy that is older than that: a process that was draining still is, and one whose entry had been removed is used only
-// once the entry has not expired again. The caller holds the lock.
-func (reg *Registry) recordRestored(srv Server, now time.Time) {
+// recordRegistration records an entry that was written, and compares it with what was known of its process in earlier eras of
+// the store. The entry may come from a copy that is older than that: a process that was draining still is, and one whose
+// entry had been removed is used only once the entry has not expired again. The caller holds the lock.
+func (reg *Registry) recordRegistration(srv Server, now time.Time) {
 	prc := srv.Process()
 	era := objects.EraOf(srv.Version)
 	if old, ok := reg.servers[srv.ID]; ok && old.Process() == prc && old.Draining && objects.EraOf(old.Version) < era {
 		reg.stopping[prc] = now
 	}
 	if rmv, ok := reg.removed[prc]; ok && objects.EraOf(rmv.version) < era {
-		delete(reg.removed, prc)
 		reg.doubtful[prc] = now.Add(expiryTime)
 	}
+	delete(reg.removed, prc)
+	delete(reg.removedAt, srv.ID)
 }
 
 // Apply applies changes in the order in which they were made. It ignores changes that are older than the copy.
@@ -133,9 +135,8 @@
 			continue
 		}
 		if !chg.Removed {
-			reg.recordRestored(chg.Server, now)
+			reg.recordRegistration(chg.Server, now)
 			reg.servers[id] = chg.Server
-			delete(reg.removedAt, id)
 			continue
 		}
 		if old, ok := reg.servers[id]; ok {
--- a/internal/serverregistry/restore_test.go
+++ b/internal/serverregistry/restore_test.go
@@ -57,6 +57,14 @@
 			changes:     []serverregistry.Change{entry(5, 1, false), removed(6), entry(objects.VersionIn(restored, 4), 1, false)},
 			usableLater: true,
 		},
+		{
+			name: "had been removed and was back before",
+			changes: []serverregistry.Change{
+				entry(5, 1, false), removed(6), entry(7, 1, false), entry(objects.VersionIn(restored, 4), 1, false),
+			},
+			usable:      true,
+			usableLater: true,
+		},
 		{
 			name:        "had been removed and is back in the same era",
 			changes:     []serverregistry.Change{entry(5, 1, false), removed(6), entry(7, 1, false)},
