--- a/internal/sitecontrol/controller.go
+++ b/internal/sitecontrol/controller.go
@@ -159,8 +159,9 @@
 	}
 }
 
-// tryLease renews the lease, or tries to acquire it if the last attempt is long enough ago. After a renewal that the
-// holder announced, it waits at least for the lease duration, so that the store is not read while the holder is alive.
+// tryLease renews the lease, or tries to acquire it if the last attempt is long enough ago. A holder whose lease has just
+// ended tries at once. After a renewal that the holder announced, it waits at least for the lease duration, so that the
+// store is not read while the holder is alive.
 func (ctr *Controller) tryLease(ctx context.Context) {
 	now := ctr.clk.Now()
 	pause := leaseCheckInterval
@@ -173,7 +174,7 @@
 		last = renewed
 		pause = max(pause, ctr.les.Duration())
 	}
-	if !ctr.les.Held() && now.Sub(last) < pause {
+	if !ctr.les.Held() && !ctr.tookOver && now.Sub(last) < pause {
 		return
 	}
 	ctr.leaseCheckedAt = now
