Check the paths to few servers before all of them

Now the suspected server and two others are probed; all of them only if more than one does not respond; and checks that find nothing are spaced by up to 0.6 s.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -106,8 +106,8 @@
 	Choose func(request placement.Request, now time.Time) (placement.Pick, error)
 	// Connect returns a connection to the backend server at address.
 	Connect func(ctx context.Context, address string) (*upstream.Conn, error)
-	// SuspectPath reports that a backend server sent nothing though a response was due.
-	SuspectPath func()
+	// SuspectPath reports that the backend server at address sent nothing though a response was due.
+	SuspectPath func(address string)
 	// RecordRequest adds a request to the retry budget of a service; TakeRetry takes a retry from it and reports
 	// whether one was left.
 	RecordRequest func(service string, now time.Time)
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -83,7 +83,7 @@
 				Release:       func() {},
 			}, nil
 		},
-		SuspectPath: func() {},
+		SuspectPath: func(string) {},
 		Connect: func(ctx context.Context, adr string) (*upstream.Conn, error) {
 			if fix.connectDelay == 0 {
 				return pol.Get(ctx, adr)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -284,7 +284,7 @@
 	switch {
 	case watch.stalled():
 		run.relay.requestMetrics.stalledStreams.Inc(1)
-		run.relay.deps.SuspectPath()
+		run.relay.deps.SuspectPath(srv.Address)
 		if run.service.Engine == nil {
 			// For a plain service, one lost response says nothing about other requests to the server.
 			run.relay.outliers.RecordFailure(server, now)
--- a/internal/serverpath/selector.go
+++ b/internal/serverpath/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -17,15 +18,19 @@
 )
 
 const (
-	// probeTimeout bounds a direct connection by which a path is checked. It is many times the delay between zones, and
-	// more than the time for which a busy VM may get no processor.
-	probeTimeout = 200 * time.Millisecond
-	// maxProbes is the number of servers that are probed at a time, and maxTunnelProbes the number that are then tried
-	// through other daemons.
-	maxProbes       = 64
-	maxTunnelProbes = 4
-	// sweepInterval is the least time between two sweeps, so that servers that are down cost few connections.
-	sweepInterval = 300 * time.Millisecond
+	// probeTimeout bounds a connection by which a path is checked. It is many times the delay between zones, and more than
+	// the time for which a busy VM may get no processor.
+	probeTimeout = 120 * time.Millisecond
+	// sampledServers is the number of other servers that are probed beside those that are suspected. If more than one server
+	// does not respond, all are probed, maxProbes at most.
+	sampledServers = 2
+	maxProbes      = 64
+	// maxTunnelProbes is the number of other daemons through which servers that do not respond are tried.
+	maxTunnelProbes = 8
+	// minCheckInterval is the least time between two checks. It doubles up to maxCheckInterval with each check that finds
+	// nothing, so that servers that are down or overloaded cost few connections.
+	minCheckInterval = 300 * time.Millisecond
+	maxCheckInterval = 600 * time.Millisecond
 	// hedgeDelay is the time without a result after which a further daemon is asked for a tunnel: it may have lost its
 	// path, too, without knowing yet.
 	hedgeDelay = 40 * time.Millisecond
@@ -68,11 +73,16 @@
 	log    *zap.Logger
 	cutNow metrics.Gauge
 
+	// checkedAt is the end of the last check, and checkInterval the least time until the next one; only the goroutine of
+	// checkUntilReached uses them.
+	checkedAt     time.Time
+	checkInterval time.Duration
+
 	mu sync.Mutex
-	// sweeping is set while the paths are being checked, and suspected if that must be done again.
-	sweeping  bool
-	suspected bool
-	sweptAt   time.Time
+	// checking is set while checkUntilReached runs.
+	checking bool
+	// suspects holds the addresses of servers to check next.
+	suspects map[string]bool
 	// cut holds the addresses of servers that this daemon does not reach although others do.
 	cut map[string]bool
 	// failedPeers holds when a peer last opened no tunnel.
@@ -89,6 +99,7 @@
 		clock:       clock,
 		log:         log.Named("paths"),
 		cutNow:      metrics.GetOrRegisterGauge("ServersCutOff", registry),
+		suspects:    map[string]bool{},
 		cut:         map[string]bool{},
 		failedPeers: map[string]time.Time{},
 	}
@@ -99,7 +110,7 @@
 	if sel.Reaches(address) {
 		con, err := sel.pool.Get(ctx, address)
 		if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
-			sel.Suspect()
+			sel.Suspect(address)
 		}
 		return con, errors.Trace(err)
 	}
@@ -122,61 +133,82 @@
 	return !sel.cut[address]
 }
 
-// Suspect checks the paths to all servers in the background, since a server could not be reached or sent nothing.
-func (sel *Selector) Suspect() {
+// Suspect checks in the background whether the server at address, which could not be reached or sent nothing, and others are
+// cut off from this daemon.
+func (sel *Selector) Suspect(address string) {
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
-	sel.suspected = true
-	if !sel.sweeping {
-		sel.sweeping = true
-		go sel.sweepUntilReached()
+	sel.suspects[address] = true
+	if !sel.checking {
+		sel.checking = true
+		go sel.checkUntilReached()
 	}
 }
 
-// sweepUntilReached sweeps all servers while that is requested, and those that are cut off until none is left.
-func (sel *Selector) sweepUntilReached() {
+// checkUntilReached checks servers while some are suspected or cut off.
+func (sel *Selector) checkUntilReached() {
 	for {
-		sel.clock.Sleep(sweepInterval - sel.clock.Since(sel.sweptAt))
-		addresses, ok := sel.nextSweep()
+		sel.clock.Sleep(sel.checkInterval - sel.clock.Since(sel.checkedAt))
+		suspects, ok := sel.nextCheck()
 		if !ok {
 			return
 		}
-		sel.sweep(addresses)
-		sel.sweptAt = sel.clock.Now()
+		switch idle := sel.clock.Since(sel.checkedAt); {
+		case sel.check(suspects) || idle > 2*maxCheckInterval:
+			sel.checkInterval = minCheckInterval
+		default:
+			sel.checkInterval = min(max(2*sel.checkInterval, minCheckInterval), maxCheckInterval)
+		}
+		sel.checkedAt = sel.clock.Now()
 	}
 }
 
-// nextSweep returns the servers to probe next, and false if there are none: the sweeps then end.
-func (sel *Selector) nextSweep() ([]string, bool) {
+// nextCheck returns the servers to check next, those that are suspected and those that are cut off, and false if there are
+// none: the checks then end.
+func (sel *Selector) nextCheck() ([]string, bool) {
 	servers := sel.deps.Servers()
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
-	if !sel.suspected {
-		servers = slices.DeleteFunc(servers, func(address string) bool { return !sel.cut[address] })
+	maps.DeleteFunc(sel.cut, func(address string, _ bool) bool { return !slices.Contains(servers, address) })
+	sel.cutNow.Update(int64(len(sel.cut)))
+	suspects := slices.DeleteFunc(servers, func(address string) bool { return !sel.suspects[address] && !sel.cut[address] })
+	clear(sel.suspects)
+	sel.checking = len(suspects) > 0
+	return suspects[:min(len(suspects), maxProbes)], sel.checking
+}
+
+// check probes the suspects and a few other servers directly. If several do not respond that were reached before, it probes
+// all, and records as cut off those that do not respond, if any of them can be reached through other daemons. Otherwise they
+// are taken to be down. It reports whether any server is cut off.
+func (sel *Selector) check(suspects []string) bool {
+	others := without(sel.deps.Servers(), suspects)
+	rand.Shuffle(len(others), func(one, two int) { others[one], others[two] = others[two], others[one] })
+	sampled := min(len(others), sampledServers)
+	probed := slices.Concat(suspects, others[:sampled])
+	failed := sel.probe(probed)
+	sel.recordReached(without(probed, failed))
+	failed = slices.DeleteFunc(failed, func(address string) bool { return !sel.Reaches(address) })
+	if len(failed) > 1 {
+		failed = append(failed, sel.probe(others[sampled:min(len(others), maxProbes)])...)
 	}
-	if len(servers) == 0 {
-		clear(sel.cut)
-		sel.cutNow.Update(0)
-		sel.sweeping = false
-		return nil, false
+	if len(failed) > 0 && sel.anyReachedThroughPeers(failed) {
+		sel.recordCut(failed)
 	}
-	sel.suspected = false
-	rand.Shuffle(len(servers), func(one, two int) { servers[one], servers[two] = servers[two], servers[one] })
-	return servers[:min(len(servers), maxProbes)], true
+	sel.mu.Lock()
+	defer sel.mu.Unlock()
+	return len(sel.cut) > 0
+}
+
+// without returns the elements of all that are not in some.
+func without(all, some []string) []string {
+	return slices.DeleteFunc(slices.Clone(all), func(address string) bool { return slices.Contains(some, address) })
 }
 
-// sweep probes servers directly, and records those as cut off that do not respond, if any of them can be reached through
-// other daemons. Otherwise they are taken to be down.
-func (sel *Selector) sweep(addresses []string) {
+// probe connects to servers directly and returns those that do not respond.
+func (sel *Selector) probe(addresses []string) []string {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	failed := probeAll(addresses, func(address string) error { return sel.deps.Probe(ctx, address) })
-	reached := slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return slices.Contains(failed, address) })
-	if sel.recordReached(reached); len(failed) == 0 || !sel.anyReachedThroughPeers(failed) {
-		sel.recordReached(failed)
-		return
-	}
-	sel.recordCut(failed)
+	return probeAll(addresses, func(address string) error { return sel.deps.Probe(ctx, address) })
 }
 
 // recordReached records servers that are not cut off.
@@ -219,19 +251,29 @@
 	sel.deps.ReportCut(added)
 }
 
-// anyReachedThroughPeers reports whether some of the servers can be reached through other daemons.
+// anyReachedThroughPeers reports whether some of the servers can be reached through other daemons. Each of several daemons is
+// asked for one server, since most daemons may be cut off, too.
 func (sel *Selector) anyReachedThroughPeers(addresses []string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	tried := addresses[:min(len(addresses), maxTunnelProbes)]
-	failed := probeAll(tried, func(address string) error {
-		con, err := sel.tunnel(ctx, address)
-		if err != nil {
-			return err
-		}
-		return con.Close()
-	})
-	return len(failed) < len(tried)
+	peers := sel.deps.Peers()
+	rand.Shuffle(len(peers), func(one, two int) { peers[one], peers[two] = peers[two], peers[one] })
+	peers = peers[:min(len(peers), maxTunnelProbes)]
+	reached := make([]bool, len(peers))
+	var wgr sync.WaitGroup
+	for idx, per := range peers {
+		wgr.Go(func() {
+			con, err := sel.deps.Tunnel(ctx, per, addresses[rand.IntN(len(addresses))])
+			if err != nil {
+				sel.recordPeerFailure(per)
+				return
+			}
+			reached[idx] = true
+			_ = con.Close()
+		})
+	}
+	wgr.Wait()
+	return slices.Contains(reached, true)
 }
 
 // probeAll calls probe for all addresses at once and returns those for which it fails.
--- a/internal/serverpath/selector_test.go
+++ b/internal/serverpath/selector_test.go
@@ -196,7 +196,7 @@
 			},
 		}
 		sel := ntw.selector()
-		sel.Suspect()
+		sel.Suspect("one")
 		eventually(tst, func() bool { return !sel.Reaches("one") })
 		ctx, cancel := context.WithTimeout(tst.Context(), 120*time.Millisecond)
 		_, err := sel.Connect(ctx, "one")
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -161,7 +161,9 @@
 			log.Named("placement").Info("an engine sends nothing although responses are due; ejecting it for a while",
 				zap.String("server", all.Server), zap.Int("requests", all.Requests),
 				zap.Duration("quiet", all.SinceLastByte), zap.Duration("waiting", all.ResponseDueFor))
-			sel.Suspect()
+			if srv, ok := stc.registry.View().Server(all.Server); ok {
+				sel.Suspect(srv.Address)
+			}
 		},
 	}
 	return placement.New(cfg, dps, trk, cold, lim, clk)
