--- a/internal/serverpath/selector.go
+++ b/internal/serverpath/selector.go
@@ -182,7 +182,7 @@
 // are taken to be down. It reports whether any server is cut off.
 func (sel *Selector) check(suspects []string) bool {
 	others := without(sel.deps.Servers(), suspects)
-	rand.Shuffle(len(others), func(one, two int) { others[one], others[two] = others[two], others[one] })
+	shuffle(others)
 	sampled := min(len(others), sampledServers)
 	probed := slices.Concat(suspects, others[:sampled])
 	failed := sel.probe(probed)
@@ -199,16 +199,32 @@
 	return len(sel.cut) > 0
 }
 
+func shuffle[T any](list []T) {
+	rand.Shuffle(len(list), func(one, two int) { list[one], list[two] = list[two], list[one] })
+}
+
 // without returns the elements of all that are not in some.
 func without(all, some []string) []string {
 	return slices.DeleteFunc(slices.Clone(all), func(address string) bool { return slices.Contains(some, address) })
 }
 
-// probe connects to servers directly and returns those that do not respond.
+// probe connects to servers directly, all at once, and returns those that do not respond.
 func (sel *Selector) probe(addresses []string) []string {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	return probeAll(addresses, func(address string) error { return sel.deps.Probe(ctx, address) })
+	errs := make([]error, len(addresses))
+	var wgr sync.WaitGroup
+	for idx, adr := range addresses {
+		wgr.Go(func() { errs[idx] = sel.deps.Probe(ctx, adr) })
+	}
+	wgr.Wait()
+	var failed []string
+	for idx, adr := range addresses {
+		if errs[idx] != nil {
+			failed = append(failed, adr)
+		}
+	}
+	return failed
 }
 
 // recordReached records servers that are not cut off.
@@ -257,7 +273,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	peers := sel.deps.Peers()
-	rand.Shuffle(len(peers), func(one, two int) { peers[one], peers[two] = peers[two], peers[one] })
+	shuffle(peers)
 	peers = peers[:min(len(peers), maxTunnelProbes)]
 	reached := make([]bool, len(peers))
 	var wgr sync.WaitGroup
@@ -276,23 +292,6 @@
 	return slices.Contains(reached, true)
 }
 
-// probeAll calls probe for all addresses at once and returns those for which it fails.
-func probeAll(addresses []string, probe func(address string) error) []string {
-	errs := make([]error, len(addresses))
-	var wgr sync.WaitGroup
-	for idx, adr := range addresses {
-		wgr.Go(func() { errs[idx] = probe(adr) })
-	}
-	wgr.Wait()
-	var failed []string
-	for idx, adr := range addresses {
-		if errs[idx] != nil {
-			failed = append(failed, adr)
-		}
-	}
-	return failed
-}
-
 // tunnelResult is the result of one attempt to open a tunnel.
 type tunnelResult struct {
 	con net.Conn
@@ -360,7 +359,7 @@
 // own availability zone.
 func (sel *Selector) orderedPeers() []Peer {
 	peers := sel.deps.Peers()
-	rand.Shuffle(len(peers), func(one, two int) { peers[one], peers[two] = peers[two], peers[one] })
+	shuffle(peers)
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	rank := func(per Peer) int {
