Close the listener and idle connections of callers after the stop notice

After the notice the listener and idle connections are closed as before the commit; connections on which a request is in progress or has yet to arrive are served.

TestLateRequestsOfPlannedStopAreAnswered holds unchanged.

--- a/internal/listening/listener.go
+++ b/internal/listening/listener.go
@@ -24,11 +24,27 @@
 // maxHeaderSize is the largest size of request headers, in bytes.
 const maxHeaderSize = 64 << 10
 
+// Server serves HTTP on one listener.
+type Server struct {
+	*http.Server
+	// Address is that of the listener.
+	Address string
+	socket  net.Listener
+}
+
+// StopAccepting refuses further connections and closes idle ones. A connection on which a request is in progress, or has yet
+// to arrive, is served and then closed.
+func (srv *Server) StopAccepting() error {
+	err := srv.socket.Close()
+	srv.SetKeepAlivesEnabled(false)
+	return errors.Trace(err)
+}
+
 // Open opens all listeners before it serves on any, so that a wrong address fails the start. It returns the servers in
 // the order of the listeners, without the skipped ones.
-func Open(listeners []Listener) ([]*http.Server, error) {
+func Open(listeners []Listener) ([]*Server, error) {
 	var sockets []net.Listener
-	var servers []*http.Server
+	var servers []*Server
 	for _, lst := range listeners {
 		if lst.Address == "" {
 			continue
@@ -41,12 +57,16 @@
 			return nil, errors.Annotatef(err, "listen on %s", lst.Address)
 		}
 		sockets = append(sockets, skt)
-		servers = append(servers, &http.Server{
-			Handler:           lst.Handler,
-			ReadHeaderTimeout: lst.HeaderTimeout,
-			IdleTimeout:       lst.IdleTimeout,
-			MaxHeaderBytes:    maxHeaderSize,
-			ErrorLog:          lst.ErrorLog,
+		servers = append(servers, &Server{
+			Server: &http.Server{
+				Handler:           lst.Handler,
+				ReadHeaderTimeout: lst.HeaderTimeout,
+				IdleTimeout:       lst.IdleTimeout,
+				MaxHeaderBytes:    maxHeaderSize,
+				ErrorLog:          lst.ErrorLog,
+			},
+			Address: lst.Address,
+			socket:  skt,
 		})
 	}
 	for idx, srv := range servers {
