Reject requests before idle connections are closed in a planned stop

A booking that arrived on an idle connection at the very end of the stop notice was passed on and run, and its connection was closed as idle.

Cause: a connection counts as idle until its request has been read, so that closing the idle ones may cross a request.

The relay now rejects requests from just before idle connections are closed: what crosses the close is not passed on. A request whose handler had begun before has an active connection, which is not closed.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,9 +38,8 @@
 	clock          clockwork.Clock
 	logger         *zap.Logger
 
-	draining atomic.Bool
-	// servesUntil is the time in nanoseconds since the Unix epoch by which requests must be complete, 0 for no bound.
-	servesUntil atomic.Int64
+	draining  atomic.Bool
+	rejecting atomic.Bool
 	// ended is done once the requests in progress must end, and end makes it so.
 	ended context.Context
 	end   context.CancelFunc
@@ -113,10 +112,10 @@
 	rly.draining.Store(true)
 }
 
-// ServeUntil makes the relay reject further requests whose deadline is later than end, also those whose body is still being
-// read: they might not be complete by then.
-func (rly *Relay) ServeUntil(end time.Time) {
-	rly.servesUntil.Store(end.UnixNano())
+// RejectNew makes the relay reject further requests, also those whose body is still being read: they might not be complete in
+// time. After it, idle connections can be closed: a request that crosses the close is not passed on.
+func (rly *Relay) RejectNew() {
+	rly.rejecting.Store(true)
 }
 
 // End ends all requests in progress with the response that is true for each of them.
@@ -162,7 +161,7 @@
 		return refusal.Unavailable("service "+name+" is not configured", run.retryAfter())
 	}
 	run.setDeadline()
-	if end := rly.servesUntil.Load(); end != 0 && run.deadline.UnixNano() > end {
+	if rly.rejecting.Load() {
 		return refusal.Unavailable("this daemon is stopping", run.retryAfter())
 	}
 	run.fingerprint = quarantine.FingerprintOf(run.requestHeaders.Model, run.workspace+"\x00"+run.request.Method+"\x00"+run.target+"\x00"+string(run.body))
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -106,21 +106,19 @@
 
 // stop drains the daemon without interrupting requests in progress, up to the drain timeout. Readiness fails first;
 // until the load balancer has noticed, new requests are still served, each as the last one of its connection. Later ones
-// come only on connections that were open before, and are rejected if they might not be complete in time. Those still in
-// progress at the end get a response, too.
+// come only on connections that were open before, and are rejected. Those still in progress at the end get a response, too.
 func (dmn *Daemon) stop(ctx context.Context, servers []*listening.Server) {
 	set := dmn.dep.Settings.Requests
 	dmn.dep.Log.Named("site").Info("daemon is stopping", zap.Duration("notice", set.StopNotice), zap.Int("inProgress", dmn.dep.Relay.InFlight()))
 	drain, cancel := context.WithTimeout(ctx, set.DrainTimeout-endTime)
 	defer cancel()
-	drainEnd := dmn.dep.Clock.Now().Add(set.DrainTimeout - endTime)
 	var tunnels sync.WaitGroup
 	tunnels.Go(func() { dmn.dep.Mesh.StopTunnels(drain) })
 	defer tunnels.Wait()
 	dmn.dep.StoreCache.failReadiness()
 	dmn.dep.Relay.Drain()
 	dmn.dep.Clock.Sleep(set.StopNotice)
-	dmn.dep.Relay.ServeUntil(drainEnd)
+	dmn.dep.Relay.RejectNew()
 	for _, srv := range servers {
 		if srv.Address != dmn.dep.Settings.Listen.Callers {
 			continue
