Give tunnels more time, and eject no server for a path that fails

Cause: a tunnel is set up in several round trips by two daemons, within the 120 ms that a direct connection may take. On a busy machine it took longer; each failure ejected the server, though it says nothing about it, and after 40 ms a further daemon was asked, which added to the load.

A tunnel now has four times as long, hedges follow after 100 ms, and a path that fails ejects no server.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -104,8 +104,8 @@
 	// Choose picks a backend server; it fails with placement.ErrNoServer, or with placement.ErrBusy and a pick that holds
 	// the best forecast.
 	Choose func(request placement.Request, now time.Time) (placement.Pick, error)
-	// Connect returns a connection to the backend server at address.
-	Connect func(ctx context.Context, address string) (*upstream.Conn, error)
+	// Connect returns a connection to the backend server at address, which must open within timeout if it is direct.
+	Connect func(ctx context.Context, address string, timeout time.Duration) (*upstream.Conn, error)
 	// SuspectPath reports that the backend server at address sent nothing though a response was due.
 	SuspectPath func(address string)
 	// RecordRequest adds a request to the retry budget of a service; TakeRetry takes a retry from it and reports
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -84,7 +84,9 @@
 			}, nil
 		},
 		SuspectPath: func(string) {},
-		Connect: func(ctx context.Context, adr string) (*upstream.Conn, error) {
+		Connect: func(ctx context.Context, adr string, timeout time.Duration) (*upstream.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
 			if fix.connectDelay == 0 {
 				return pol.Get(ctx, adr)
 			}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -245,9 +245,9 @@
 	run.writingSince = time.Time{}
 	run.survived = false
 	srv := pick.Server
-	con, err := run.connect(ctx, srv.Address)
+	con, err := rly.deps.Connect(ctx, srv.Address, firstConnectTimeout<<(run.sends-1))
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, upstream.ErrPathBroken) {
 			rly.outliers.Eject(srv.ID, rly.clock.Now())
 		}
 		return notRun, errors.Trace(err)
@@ -268,13 +268,6 @@
 	return run.handleResponse(ctx, watch, pick, rsp)
 }
 
-// connect returns a connection to a backend server, within firstConnectTimeout for the first send of the request.
-func (run *run) connect(ctx context.Context, adr string) (*upstream.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, firstConnectTimeout<<(run.sends-1))
-	defer cancel()
-	return run.relay.deps.Connect(ctx, adr)
-}
-
 // recordBrokenConnection records a connection that ended before the response was complete.
 func (run *run) recordBrokenConnection(ctx context.Context, watch *stallWatch, srv *serverregistry.Server, err error) error {
 	server := srv.ID
--- a/internal/serverpath/selector.go
+++ b/internal/serverpath/selector.go
@@ -33,7 +33,9 @@
 	maxCheckInterval = 600 * time.Millisecond
 	// hedgeDelay is the time without a result after which a further daemon is asked for a tunnel: it may have lost its
 	// path, too, without knowing yet.
-	hedgeDelay = 40 * time.Millisecond
+	hedgeDelay = 100 * time.Millisecond
+	// tunnelTimeFactor multiplies the time to connect for a tunnel, which takes several round trips and the work of two daemons.
+	tunnelTimeFactor = 4
 	// maxHedges is the number of daemons that are asked for one tunnel.
 	maxHedges = 3
 	// peerBackoff is the time for which a daemon that opened no tunnel is asked after the others.
@@ -105,10 +107,14 @@
 	}
 }
 
-// Connect returns a connection to the server at address. Errors are upstream.ErrNotSent.
-func (sel *Selector) Connect(ctx context.Context, address string) (*upstream.Conn, error) {
+// Connect returns a connection to the server at address. A direct connection must open within timeout, one through another
+// daemon within a multiple of it. Errors are upstream.ErrNotSent, and upstream.ErrPathBroken as well if they say nothing about
+// the server.
+func (sel *Selector) Connect(ctx context.Context, address string, timeout time.Duration) (*upstream.Conn, error) {
 	if sel.Reaches(address) {
-		con, err := sel.pool.Get(ctx, address)
+		direct, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		con, err := sel.pool.Get(direct, address)
 		if err != nil && !errors.Is(ctx.Err(), context.Canceled) {
 			sel.Suspect(address)
 		}
@@ -119,9 +125,12 @@
 			return con, nil
 		}
 	}
-	raw, err := sel.tunnel(ctx, address)
+	through, cancel := context.WithTimeout(ctx, tunnelTimeFactor*timeout)
+	defer cancel()
+	raw, err := sel.tunnel(through, address)
 	if err != nil {
-		return nil, errors.WithType(errors.Annotatef(err, "connect to %s through other daemons", address), upstream.ErrNotSent)
+		err = errors.WithType(errors.Annotatef(err, "connect to %s through other daemons", address), upstream.ErrNotSent)
+		return nil, errors.WithType(err, upstream.ErrPathBroken)
 	}
 	return sel.pool.SingleUse(raw, address), nil
 }
--- a/internal/serverpath/selector_test.go
+++ b/internal/serverpath/selector_test.go
@@ -17,7 +17,10 @@
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
-const waitLimit = 5 * time.Second
+const (
+	waitLimit      = 5 * time.Second
+	connectTimeout = 120 * time.Millisecond
+)
 
 // network says which servers a daemon and its peers reach.
 type network struct {
@@ -163,7 +166,7 @@
 				peers:  cse.peers,
 			}
 			sel := ntw.selector()
-			_, err := sel.Connect(tst.Context(), "one")
+			_, err := sel.Connect(tst.Context(), "one", connectTimeout)
 			qt.Assert(tst, errors.Is(err, upstream.ErrNotSent), qt.IsTrue)
 			if !cse.cut {
 				time.Sleep(100 * time.Millisecond)
@@ -172,7 +175,7 @@
 			}
 			eventually(tst, func() bool { return !sel.Reaches("one") })
 			qt.Check(tst, sel.Reaches("two"), qt.Equals, cse.direct["two"])
-			_, err = sel.Connect(tst.Context(), "one")
+			_, err = sel.Connect(tst.Context(), "one", connectTimeout)
 			qt.Check(tst, err, qt.IsNil)
 			ntw.setDirect("one", true)
 			eventually(tst, func() bool { return sel.Reaches("one") })
@@ -198,9 +201,7 @@
 		sel := ntw.selector()
 		sel.Suspect("one")
 		eventually(tst, func() bool { return !sel.Reaches("one") })
-		ctx, cancel := context.WithTimeout(tst.Context(), 120*time.Millisecond)
-		_, err := sel.Connect(ctx, "one")
-		cancel()
+		_, err := sel.Connect(tst.Context(), "one", connectTimeout)
 		qt.Assert(tst, err, qt.IsNil)
 	}
 }
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -285,6 +285,9 @@
 // so that one of them may fail.
 const leaseCandidates = 3
 
+// orderConnectTimeout bounds the time to connect to an engine for an order.
+const orderConnectTimeout = 600 * time.Millisecond
+
 // sendOrder sends an order to an engine. It returns the engine's state as read from its response, and an error if the
 // order was not accepted.
 func sendOrder(ctx context.Context, sel *serverpath.Selector, ord orderplan.Order, fence uint64) (relay.ResponseHeaders, error) {
@@ -292,7 +295,7 @@
 	if err != nil {
 		return relay.ResponseHeaders{}, errors.Trace(err)
 	}
-	con, err := sel.Connect(ctx, ord.Address)
+	con, err := sel.Connect(ctx, ord.Address, orderConnectTimeout)
 	if err != nil {
 		return relay.ResponseHeaders{}, errors.Trace(err)
 	}
