--- a/test/bookings/shutdown_test.go
+++ b/test/bookings/shutdown_test.go
@@ -96,7 +96,12 @@
 		waitReady(ctx, t, ent)
 	}
 	for _, svc := range flt.Services {
-		c.Assert(flt.SetFaults(ctx, svc, service.Faults{Delay: 500 * time.Millisecond}), qt.IsNil)
+		// A service may not listen yet when all entry VMs are ready.
+		err := flt.SetFaults(ctx, svc, service.Faults{Delay: 500 * time.Millisecond})
+		for end := time.Now().Add(10 * time.Second); err != nil && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			err = flt.SetFaults(ctx, svc, service.Faults{Delay: 500 * time.Millisecond})
+		}
+		c.Assert(err, qt.IsNil)
 	}
 	bkg := &booking{
 		reference: "blank-1",
