Open and accept WebSockets of peers by one function each

No behaviour changes. Race detector on peer, upstream, serverpath and site, the tests of restores and cut daemons, and the linter pass.

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -192,15 +192,8 @@
 func (msh *Mesh) connect(adr string, lnk *link) {
 	ctx, cancel := context.WithTimeout(context.Background(), linkTimeout)
 	defer cancel()
-	con, res, err := websocket.Dial(ctx, "ws://"+adr+Path, &websocket.DialOptions{
-		HTTPClient:      msh.httpClient,
-		CompressionMode: websocket.CompressionDisabled,
-	})
-	if res != nil && res.Body != nil {
-		defer res.Body.Close()
-	}
+	con, err := msh.dialWebSocket(ctx, adr, Path)
 	if err == nil {
-		con.SetReadLimit(MaxFrameSize)
 		lnk.conn = con
 		err = lnk.connectHandshake(ctx)
 	}
@@ -213,6 +206,34 @@
 	msh.removeOutgoing(adr, lnk)
 }
 
+// dialWebSocket opens a WebSocket to the daemon at adr for messages of up to MaxFrameSize.
+func (msh *Mesh) dialWebSocket(ctx context.Context, adr, path string) (*websocket.Conn, error) {
+	con, res, err := websocket.Dial(ctx, "ws://"+adr+path, &websocket.DialOptions{
+		HTTPClient:      msh.httpClient,
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if res != nil && res.Body != nil {
+		defer res.Body.Close()
+	}
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	con.SetReadLimit(MaxFrameSize)
+	return con, nil
+}
+
+// acceptWebSocket accepts a WebSocket of a peer for messages of up to MaxFrameSize.
+func acceptWebSocket(rsw http.ResponseWriter, req *http.Request) (*websocket.Conn, error) {
+	con, err := websocket.Accept(rsw, req, &websocket.AcceptOptions{
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	con.SetReadLimit(MaxFrameSize)
+	return con, nil
+}
+
 func (msh *Mesh) removeOutgoing(adr string, lnk *link) {
 	msh.mu.Lock()
 	defer msh.mu.Unlock()
@@ -244,13 +265,10 @@
 		msh.serveTunnel(rsw, req)
 		return
 	}
-	con, err := websocket.Accept(rsw, req, &websocket.AcceptOptions{
-		CompressionMode: websocket.CompressionDisabled,
-	})
+	con, err := acceptWebSocket(rsw, req)
 	if err != nil {
 		return
 	}
-	con.SetReadLimit(MaxFrameSize)
 	lnk := newLink(msh)
 	lnk.conn = con
 	ctx, cancel := context.WithTimeout(req.Context(), linkTimeout)
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -75,13 +75,7 @@
 // ErrUnreachable if that daemon cannot be reached, and ErrRemote if it cannot reach the target. On the connection, io.EOF
 // means that the target closed it, ErrTargetBroken that the target broke it, and ErrBroken that the tunnel broke.
 func (msh *Mesh) Tunnel(ctx context.Context, address, target string) (net.Conn, error) {
-	con, res, err := websocket.Dial(ctx, "ws://"+address+TunnelPath, &websocket.DialOptions{
-		HTTPClient:      msh.httpClient,
-		CompressionMode: websocket.CompressionDisabled,
-	})
-	if res != nil && res.Body != nil {
-		defer res.Body.Close()
-	}
+	con, err := msh.dialWebSocket(ctx, address, TunnelPath)
 	if err != nil {
 		return nil, errors.Annotatef(ErrUnreachable, "tunnel through %s: %v", address, err)
 	}
@@ -94,7 +88,6 @@
 }
 
 func (msh *Mesh) openTunnel(ctx context.Context, con *websocket.Conn, target string) error {
-	con.SetReadLimit(MaxFrameSize)
 	lnk := newLink(msh)
 	lnk.conn = con
 	if err := lnk.connectHandshake(ctx); err != nil {
@@ -118,9 +111,7 @@
 
 // serveTunnel accepts a tunnel and copies bytes between its two ends until one of them closes.
 func (msh *Mesh) serveTunnel(rsw http.ResponseWriter, req *http.Request) {
-	con, err := websocket.Accept(rsw, req, &websocket.AcceptOptions{
-		CompressionMode: websocket.CompressionDisabled,
-	})
+	con, err := acceptWebSocket(rsw, req)
 	if err != nil {
 		return
 	}
@@ -149,7 +140,6 @@
 // acceptTunnel performs the handshake of a tunnel and connects to its target. Unless it returns an error, the tunnel is
 // counted.
 func (msh *Mesh) acceptTunnel(ctx context.Context, con *websocket.Conn) (net.Conn, error) {
-	con.SetReadLimit(MaxFrameSize)
 	lnk := newLink(msh)
 	lnk.conn = con
 	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -48,13 +48,9 @@
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
-	// lastReads holds when bytes last arrived on any connection that the pool dialed, by address.
-	lastReads map[string]*lastRead
-}
-
-// lastRead is a time in nanoseconds since the Unix epoch.
-type lastRead struct {
-	atomic.Int64
+	// lastReads holds when bytes last arrived on any connection that the pool dialed, in nanoseconds since the Unix epoch, by
+	// address.
+	lastReads map[string]*atomic.Int64
 }
 
 // Conn is one connection; one request at a time uses it.
@@ -80,7 +76,7 @@
 		dialed: dialed,
 		idle:   map[string][]*Conn{},
 
-		lastReads: map[string]*lastRead{},
+		lastReads: map[string]*atomic.Int64{},
 	}
 }
 
@@ -142,7 +138,7 @@
 type timedReader struct {
 	io.Reader
 	clock clockwork.Clock
-	last  *lastRead
+	last  *atomic.Int64
 }
 
 // Read records the time if it returns bytes.
@@ -154,12 +150,12 @@
 	return num, err
 }
 
-func (pol *Pool) lastReadOf(address string) *lastRead {
+func (pol *Pool) lastReadOf(address string) *atomic.Int64 {
 	pol.mu.Lock()
 	defer pol.mu.Unlock()
 	last, ok := pol.lastReads[address]
 	if !ok {
-		last = &lastRead{}
+		last = &atomic.Int64{}
 		pol.lastReads[address] = last
 	}
 	return last
@@ -214,7 +210,7 @@
 func (pol *Pool) Trim(keep func(adr string) bool) {
 	pol.mu.Lock()
 	defer pol.mu.Unlock()
-	maps.DeleteFunc(pol.lastReads, func(adr string, _ *lastRead) bool { return !keep(adr) })
+	maps.DeleteFunc(pol.lastReads, func(adr string, _ *atomic.Int64) bool { return !keep(adr) })
 	for adr, cons := range pol.idle {
 		var left []*Conn
 		for _, con := range cons {
