Count retries by the steady clock

Cause: the buckets of the window were numbered by the time of day, so that a clock that went ahead put counts out of the window early, and one that went back overwrote them. The class: a time of day taken for a duration. The buckets are numbered by the time since the process started, which steps do not change.

--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -22,6 +22,7 @@
 type Budget struct {
 	config      Config
 	daemonCount func() int
+	startedAt   time.Time
 
 	mu      sync.Mutex
 	windows map[string]*window
@@ -37,11 +38,13 @@
 	retries  int
 }
 
-// New returns a budget without requests. The function daemonCount returns the number of daemons that share the reserve.
-func New(config Config, daemonCount func() int) *Budget {
+// New returns a budget without requests for a process that starts at startedAt. The function daemonCount returns the number
+// of daemons that share the reserve.
+func New(config Config, daemonCount func() int, startedAt time.Time) *Budget {
 	return &Budget{
 		config:      config,
 		daemonCount: daemonCount,
+		startedAt:   startedAt,
 		windows:     map[string]*window{},
 	}
 }
@@ -103,7 +106,7 @@
 		win = &window{}
 		bud.windows[service] = win
 	}
-	index := now.UnixNano() / int64(max(1, bud.config.Window/bucketsPerWindow))
+	index := int64(now.Sub(bud.startedAt) / max(1, bud.config.Window/bucketsPerWindow))
 	bkt := &win.buckets[index%int64(len(win.buckets))]
 	if bkt.index != index {
 		*bkt = bucket{
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -22,7 +22,7 @@
 	var sent []time.Time
 	var requests []time.Time
 	for range daemons {
-		bud := retrybudget.New(cfg, func() int { return daemons })
+		bud := retrybudget.New(cfg, func() int { return daemons }, start)
 		for at := time.Duration(0); at < 40*time.Second; at += 50 * time.Millisecond {
 			now := start.Add(at)
 			bud.RecordRequest("recipes", now)
@@ -54,11 +54,11 @@
 
 // Guards against one service that spends the retries of another.
 func TestServicesHaveBudgetsOfTheirOwn(tst *testing.T) {
+	now := time.Unix(1000, 0)
 	bud := retrybudget.New(retrybudget.Config{
 		Reserve: 2,
 		Window:  time.Second,
-	}, func() int { return 1 })
-	now := time.Unix(1000, 0)
+	}, func() int { return 1 }, now)
 	qt.Assert(tst, bud.TakeRetry("one", now), qt.IsTrue)
 	qt.Assert(tst, bud.TakeRetry("one", now), qt.IsFalse)
 	qt.Assert(tst, bud.TakeRetry("two", now), qt.IsTrue)
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -122,12 +122,12 @@
 	return promptcrash.New(rand.Float64)
 }
 
-func newBudget(set *settings.Settings, stc *storeCache) *retrybudget.Budget {
+func newBudget(set *settings.Settings, stc *storeCache, clk clockwork.Clock) *retrybudget.Budget {
 	return retrybudget.New(retrybudget.Config{
 		Ratio:   set.Site.RetryRatio,
 		Reserve: set.Site.RetryReserve,
 		Window:  set.Site.RetryWindow,
-	}, stc.daemonCount)
+	}, stc.daemonCount, clk.Now())
 }
 
 func newPlacement(
