Measure the silence of streams by the steady clock

Cause: the stall watch stored the time of the last bytes as a number of nanoseconds, which drops the monotonic reading. A step ahead by more than the timeout ended a stream in progress, and a step back hid a stalled one for as long.

--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cumintally/cumintally/internal/atomictime"
 	"github.com/cumintally/cumintally/internal/placement"
 )
 
@@ -35,7 +36,7 @@
 	sharedStreams bool
 	cancel        context.CancelFunc
 	timer         *time.Timer
-	lastProgress  atomic.Int64
+	lastProgress  atomictime.Time
 	fired         atomic.Bool
 }
 
@@ -64,13 +65,13 @@
 		return wch
 	}
 	wch.timeout = run.stallTimeout(pick.UsualTime)
-	wch.lastProgress.Store(run.relay.clock.Now().UnixNano())
+	wch.lastProgress.Store(run.relay.clock.Now())
 	wch.timer = time.AfterFunc(wch.timeout, wch.check)
 	return wch
 }
 
 func (wch *stallWatch) check() {
-	last := time.Unix(0, wch.lastProgress.Load())
+	last := wch.lastProgress.Load()
 	if prg := wch.relay.outliers.LastProgress(wch.server); wch.sharedStreams && prg.After(last) {
 		last = prg
 	}
@@ -84,7 +85,7 @@
 
 // recordProgress records that bytes of the stream arrived at now.
 func (wch *stallWatch) recordProgress(now time.Time) {
-	wch.lastProgress.Store(now.UnixNano())
+	wch.lastProgress.Store(now)
 	wch.relay.outliers.RecordProgress(wch.server, now)
 }
 
