Keep the time of the last read of a server with its monotonic reading

serverpath takes a server for cut off if nothing was read from it for a while. The pool stored that time as a number, so that a step of the clock made a sound server seem silent, or a silent one alive. TestLastReadSurvivesClockSteps failed (5 s of silence right after a read).

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,13 +7,14 @@
 	"maps"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/cumintally/cumintally/internal/atomictime"
 )
 
 const (
@@ -50,7 +51,7 @@
 	idle map[string][]*Conn
 	// lastReads holds when bytes last arrived on any connection that the pool dialed, in nanoseconds since the Unix epoch, by
 	// address.
-	lastReads map[string]*atomic.Int64
+	lastReads map[string]*atomictime.Time
 }
 
 // Conn is one connection; one request at a time uses it.
@@ -76,7 +77,7 @@
 		dialed: dialed,
 		idle:   map[string][]*Conn{},
 
-		lastReads: map[string]*atomic.Int64{},
+		lastReads: map[string]*atomictime.Time{},
 	}
 }
 
@@ -138,24 +139,24 @@
 type timedReader struct {
 	io.Reader
 	clock clockwork.Clock
-	last  *atomic.Int64
+	last  *atomictime.Time
 }
 
 // Read records the time if it returns bytes.
 func (trd *timedReader) Read(buf []byte) (int, error) {
 	num, err := trd.Reader.Read(buf)
 	if num > 0 {
-		trd.last.Store(trd.clock.Now().UnixNano())
+		trd.last.Store(trd.clock.Now())
 	}
 	return num, err
 }
 
-func (pol *Pool) lastReadOf(address string) *atomic.Int64 {
+func (pol *Pool) lastReadOf(address string) *atomictime.Time {
 	pol.mu.Lock()
 	defer pol.mu.Unlock()
 	last, ok := pol.lastReads[address]
 	if !ok {
-		last = &atomic.Int64{}
+		last = &atomictime.Time{}
 		pol.lastReads[address] = last
 	}
 	return last
@@ -169,7 +170,7 @@
 	if !ok {
 		return time.Time{}
 	}
-	return time.Unix(0, last.Load())
+	return last.Load()
 }
 
 // CloseIdle closes the idle connections to address.
@@ -210,7 +211,7 @@
 func (pol *Pool) Trim(keep func(adr string) bool) {
 	pol.mu.Lock()
 	defer pol.mu.Unlock()
-	maps.DeleteFunc(pol.lastReads, func(adr string, _ *atomic.Int64) bool { return !keep(adr) })
+	maps.DeleteFunc(pol.lastReads, func(adr string, _ *atomictime.Time) bool { return !keep(adr) })
 	for adr, cons := range pol.idle {
 		var left []*Conn
 		for _, con := range cons {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -17,6 +17,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/goleak"
 
+	"github.com/cumintally/cumintally/internal/steppedclock"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
@@ -233,3 +234,22 @@
 		tst.Fatal("the connection stays open")
 	}
 }
+
+// Guards against a server that seems to send nothing, or still to send, when the time of day is stepped.
+func TestLastReadSurvivesClockSteps(tst *testing.T) {
+	srv := newServer(tst, func(con net.Conn, req *http.Request, _ int) bool {
+		write(con, req.Header.Get("Id"), "answer")
+		return true
+	})
+	clk := steppedclock.New()
+	pol := upstream.New((&net.Dialer{}).DialContext, clk, metrics.NewCounter())
+	defer closePool(pol)
+	adr := srv.lst.Addr().String()
+	_, err := ask(tst.Context(), pol, adr, "1")
+	qt.Assert(tst, err, qt.IsNil)
+	clk.Step(5)
+	qt.Assert(tst, clk.Since(pol.LastRead(adr)), qt.Equals, time.Duration(0))
+	clk.Step(-10)
+	clk.Advance(time.Second)
+	qt.Assert(tst, clk.Since(pol.LastRead(adr)), qt.Equals, time.Second)
+}
