Measure the silence of peers by the steady clock

A link stored the time of its last frame as a number and compared it with the time of day: after a step back by 5 s a call over a dead link waited 5 s longer, after a step ahead a live one was pinged. The clock of the mesh is a field, as its dialer is.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -10,6 +10,8 @@
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"github.com/cumintally/cumintally/internal/atomictime"
 )
 
 // replyQueueSize is the number of replies queued for one call. When the queue is full the call fails with
@@ -26,8 +28,8 @@
 	done  chan struct{}
 
 	nextID atomic.Uint64
-	// lastReceived is the time of the last frame from the peer, in nanoseconds since the Unix epoch.
-	lastReceived atomic.Int64
+	// lastReceived is the time of the last frame from the peer.
+	lastReceived atomictime.Time
 	closeOnce    sync.Once
 
 	mu       sync.Mutex
@@ -168,7 +170,7 @@
 	if err != nil {
 		return errors.Annotate(ErrBroken, err.Error())
 	}
-	lnk.lastReceived.Store(time.Now().UnixNano())
+	lnk.recordReceived()
 	lnk.mesh.bytesReceived.Inc(int64(len(data)))
 	return Decode(data, val)
 }
@@ -249,9 +251,19 @@
 // connection that a network partition has cut without a TCP reset waits until its own deadline.
 const silenceTimeout = 2 * time.Second
 
+// recordReceived records that a frame of the peer has arrived.
+func (lnk *link) recordReceived() {
+	lnk.lastReceived.Store(lnk.mesh.Clock.Now())
+}
+
+// isSilent reports whether the peer has sent no frame for silenceTimeout.
+func (lnk *link) isSilent() bool {
+	return lnk.mesh.Clock.Since(lnk.lastReceived.Load()) >= silenceTimeout
+}
+
 // checkLiveness pings a peer that has sent no frame for silenceTimeout, and closes the link if the ping fails.
 func (lnk *link) checkLiveness() {
-	if time.Since(time.Unix(0, lnk.lastReceived.Load())) < silenceTimeout {
+	if !lnk.isSilent() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), silenceTimeout)
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coder/websocket"
+	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
 	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -37,6 +38,8 @@
 type Mesh struct {
 	// Dial opens connections to peers. It defaults to a net.Dialer and must not change after the first call.
 	Dial func(ctx context.Context, network, adr string) (net.Conn, error)
+	// Clock measures the silence of peers. It defaults to the real clock and must not change after the first call.
+	Clock clockwork.Clock
 	// DialTarget connects to the target of a peer's tunnel. It is nil for a daemon that accepts no tunnels, and must not
 	// change after the mesh serves connections.
 	DialTarget func(ctx context.Context, address string) (net.Conn, error)
@@ -67,6 +70,7 @@
 func New(self Identity, key []byte, registry metrics.Registry, log *zap.Logger) *Mesh {
 	msh := &Mesh{
 		Dial:           (&net.Dialer{}).DialContext,
+		Clock:          clockwork.NewRealClock(),
 		self:           self,
 		key:            key,
 		log:            log.Named("peer"),
