Send nothing to cold servers in the first second of a process

A cold server states how many requests a second it bears from all daemons, and crashes far above that. Each process counted its part from zero, so that daemons that restarted within a second sent two parts. A process has no part in its first second, and none while it doesn't know how many daemons there are (it assumed 12). It is ready about half a second after its start, so that little is lost. The emulator's daemons have run for a second.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -78,7 +78,7 @@
 		AvailabilityZone: "a",
 		ColdExcess:       1,
 	}
-	fix.plm = placement.New(cfg, dps, fix.trk, coldlimit.New(func() int { return 1 }), fix.lim, fix.clk)
+	fix.plm = placement.New(cfg, dps, fix.trk, coldlimit.New(func() int { return 1 }, fix.clk.Now().Add(-coldlimit.Window)), fix.lim, fix.clk)
 	return fix
 }
 
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -110,8 +110,8 @@
 	return upstream.New(dialServer, clk, metrics.GetOrRegisterCounter("UpstreamConnections", met))
 }
 
-func newColdLimiter(stc *storeCache) *coldlimit.Limiter {
-	return coldlimit.New(stc.daemonCount)
+func newColdLimiter(stc *storeCache, clk clockwork.Clock) *coldlimit.Limiter {
+	return coldlimit.New(stc.knownDaemons, clk.Now())
 }
 
 func newServerLimiter() *serverlimit.Limiter {
--- a/internal/standin/emulator/simulation.go
+++ b/internal/standin/emulator/simulation.go
@@ -199,7 +199,7 @@
 	cfg := placement.Config{
 		AvailabilityZone: "a",
 	}
-	dmn.placer = placement.New(cfg, dps, dmn.ejections, coldlimit.New(func() int { return sim.scenario.Daemons }),
+	dmn.placer = placement.New(cfg, dps, dmn.ejections, coldlimit.New(func() int { return sim.scenario.Daemons }, sim.clock.Now().Add(-coldlimit.Window)),
 		serverlimit.New(sim.rng.Float64), sim.clock)
 	return dmn
 }
