Let the property test of the retry budget start failures at full budgets

Two mutations (the whole bound used, requests that earn a whole part) passed 1,000 runs, since failures went on from the start and no bucket was ever full. Now they fail, as do a bucket twice as large, a reserve refilled whole and a reserve that each process has at once; 3,000 runs hold.

--- a/internal/retrybudget/property_test.go
+++ b/internal/retrybudget/property_test.go
@@ -58,10 +58,12 @@
 		killRate := rapid.SampledFrom([]int{0, 2, 10, 30}).Draw(rpt, "kills")
 		stepRate := rapid.SampledFrom([]int{0, 10}).Draw(rpt, "clockSteps")
 		requestRate := rapid.SampledFrom([]int{0, 1, 4, 20}).Draw(rpt, "requests")
-		failureRate := rapid.SampledFrom([]int{0, 1, 5, 50}).Draw(rpt, "failures")
+		failureRate := rapid.SampledFrom([]int{1, 5, 50}).Draw(rpt, "failures")
+		// Nothing fails before, so that the budgets are full.
+		failsFrom := rapid.IntRange(0, stepsPerRun/2).Draw(rpt, "failsFrom")
 		maxDelay := rapid.IntRange(0, int(cfg.Window/4/stepTime)).Draw(rpt, "delay")
 		// Retries that are sent between heldFrom and heldTill arrive together, as after a cut.
-		heldFrom := rapid.IntRange(0, stepsPerRun).Draw(rpt, "held")
+		heldFrom := failsFrom + rapid.IntRange(0, 20).Draw(rpt, "held")
 		heldTill := heldFrom + maxDelay
 		rnd := rapid.Uint64().Draw(rpt, "seed")
 		random := func(num int) int {
@@ -91,6 +93,9 @@
 					dmn.bud.RecordRequest("recipes", dmn.clk.Now())
 				}
 				for range random(failureRate + 1) {
+					if step < failsFrom {
+						continue
+					}
 					at := step + random(maxDelay+1)
 					if step >= heldFrom && step < heldTill {
 						at = heldTill
