--- a/internal/retrybudget/property_test.go
+++ b/internal/retrybudget/property_test.go
@@ -58,6 +58,8 @@
 		killRate := rapid.SampledFrom([]int{0, 2, 10, 30}).Draw(rpt, "kills")
 		stepRate := rapid.SampledFrom([]int{0, 10}).Draw(rpt, "clockSteps")
 		requestRate := rapid.SampledFrom([]int{0, 1, 4, 20}).Draw(rpt, "requests")
+		busyFrom := rapid.IntRange(0, stepsPerRun/2).Draw(rpt, "busyFrom")
+		busyTill := rapid.IntRange(busyFrom, stepsPerRun).Draw(rpt, "busyTill")
 		failureRate := rapid.SampledFrom([]int{1, 5, 50}).Draw(rpt, "failures")
 		// Nothing fails before, so that the budgets are full.
 		failsFrom := rapid.IntRange(0, stepsPerRun/2).Draw(rpt, "failsFrom")
@@ -88,7 +90,11 @@
 				if random(1000) < stepRate {
 					dmn.clk.Step(random(21) - 10)
 				}
+				// Outside the busy time, one request in four comes.
 				for range random(requestRate + 1) {
+					if (step < busyFrom || step >= busyTill) && random(4) > 0 {
+						continue
+					}
 					requests[step]++
 					dmn.bud.RecordRequest("recipes", dmn.clk.Now())
 				}
