Bound the processor time for the evidence on crashes

Where the parts of the reports were present is kept in an index now, parts seen at a single crash are no suspects, and beyond 500 reports crashes are explained every 0.1 ms for each further one.

--- a/internal/promptcrash/explain.go
+++ b/internal/promptcrash/explain.go
@@ -41,7 +41,13 @@
 // hasSuspects reports whether a part that was present at an event has not been cleared. The caller holds the lock.
 func (trk *Tracker) hasSuspects(evt *event) bool {
 	return slices.ContainsFunc(evt.reports, func(rep report) bool {
-		return slices.ContainsFunc(rep.parts, func(id string) bool { return !trk.isSound(evt.model, id, rep.at) })
+		return slices.ContainsFunc(rep.parts, func(id string) bool {
+			prt := part{
+				model: evt.model,
+				id:    id,
+			}
+			return !trk.isSound(prt, rep.at)
+		})
 	})
 }
 
@@ -71,10 +77,12 @@
 
 // refresh explains the crashes by combinations of parts, and holds or blocks these. The caller holds the lock.
 func (trk *Tracker) refresh(now time.Time) {
-	if !trk.stale {
+	if !trk.stale || now.Sub(trk.refreshedAt) < trk.refreshInterval() {
 		return
 	}
+	trk.refreshedAt = now
 	trk.expire(now)
+	trk.forgetRemovedEvents()
 	trk.stale = false
 	held := map[combinationKey]time.Time{}
 	suspects := trk.suspects()
@@ -103,20 +111,30 @@
 	trk.held = held
 }
 
-// suspects returns the parts that have not been cleared of the crashes at which they were present.
+// refreshInterval returns the least time between two explanations of the crashes. It is 0 for up to reportsAtOnce reports.
+func (trk *Tracker) refreshInterval() time.Duration {
+	num := 0
+	for _, evt := range trk.events {
+		num += len(evt.reports)
+	}
+	return time.Duration(max(0, num-reportsAtOnce)) * intervalPerReport
+}
+
+// suspects returns the parts that have not been cleared of crashes at which they were present, without those that were present
+// at a single crash.
 func (trk *Tracker) suspects() []*suspect {
 	byPart := map[part]*suspect{}
 	for _, evt := range trk.events {
 		for idx := range evt.reports {
 			rep := &evt.reports[idx]
 			for _, id := range rep.parts {
-				if trk.isSound(evt.model, id, rep.at) {
-					continue
-				}
 				prt := part{
 					model: evt.model,
 					id:    id,
 				}
+				if !trk.present[prt].recurs || trk.isSound(prt, rep.at) {
+					continue
+				}
 				sus, ok := byPart[prt]
 				if !ok {
 					sus = newSuspect(prt)
--- a/internal/promptcrash/tracker.go
+++ b/internal/promptcrash/tracker.go
@@ -29,6 +29,10 @@
 	soundTime = 10 * time.Second
 	// maxEvidenceAge is the age at which crashes that other daemons observed are ignored.
 	maxEvidenceAge = 20 * time.Second
+	// Up to reportsAtOnce reports are explained whenever the evidence changes. For each further one, the least time between two
+	// explanations grows by intervalPerReport, since in an outage nearly every send adds a report.
+	reportsAtOnce     = 500
+	intervalPerReport = 100 * time.Microsecond
 	// maxEvents, maxReports, maxSurvived and maxBlocked bound the memory: the crashes, the requests at one of them, the
 	// parts whose survival is remembered, and the combinations.
 	maxEvents   = 200
@@ -48,14 +52,19 @@
 
 	mu     sync.Mutex
 	events map[string]*event
+	// present holds where the parts of all reports were present. Once events were removed, it may hold parts that are at none of
+	// them, until forgetRemovedEvents is called.
+	present       map[part]presence
+	eventsRemoved bool
 	// survivedAt holds the latest survival of each part, and ownSurvivedAt the latest one that this daemon observed.
 	// survivals is the number of all survivals by model.
 	survivedAt    map[part]time.Time
 	ownSurvivedAt map[part]time.Time
 	survivals     map[string]int
-	// stale is set if the evidence changed since held was computed.
-	stale bool
-	held  map[combinationKey]time.Time
+	// stale is set if the evidence changed since held was computed, at refreshedAt.
+	stale       bool
+	refreshedAt time.Time
+	held        map[combinationKey]time.Time
 	// blocked holds the times at which combinations were found, and disproved the latest survivals of requests that were
 	// blocked at another daemon.
 	blocked   map[combinationKey]time.Time
@@ -67,6 +76,15 @@
 	id    string
 }
 
+// presence is what the reports say of a part.
+type presence struct {
+	// event is the first event at which the part was present, and recurs is set if it was present at another one too.
+	event  *event
+	recurs bool
+	// lastAt is the time of the latest report with the part.
+	lastAt time.Time
+}
+
 // combinationKey identifies a combination; parts are joined by commas.
 type combinationKey struct {
 	model string
@@ -79,6 +97,7 @@
 		DaemonCount: func() int { return 1 },
 		random:      random,
 		events:      map[string]*event{},
+		present:     map[part]presence{},
 		survivals:   map[string]int{},
 		held:        map[combinationKey]time.Time{},
 		blocked:     map[combinationKey]time.Time{},
@@ -125,6 +144,7 @@
 	}
 	evt.reports = append(evt.reports, rep)
 	evt.at = rep.at
+	trk.recordPresence(evt, &rep)
 	trk.stale = true
 	return true
 }
@@ -140,6 +160,7 @@
 		}
 	}
 	delete(trk.events, oldest)
+	trk.eventsRemoved = true
 }
 
 // RecordSurvival adds a survival that this daemon observed. It reports whether it says something about a part at a crash or
@@ -204,24 +225,47 @@
 
 // concernsCrash reports whether a survival is later than those known of a part that is suspected. The caller holds the lock.
 func (trk *Tracker) concernsCrash(observed Survival, at time.Time) bool {
-	for _, evt := range trk.events {
-		if evt.model != observed.Model {
-			continue
+	return slices.ContainsFunc(observed.Parts, func(id string) bool {
+		prt := part{
+			model: observed.Model,
+			id:    id,
+		}
+		prs, ok := trk.present[prt]
+		return ok && !trk.isSound(prt, prs.lastAt) && at.After(trk.survivedAt[prt])
+	})
+}
+
+// recordPresence records that the parts of a report were present at an event. The caller holds the lock.
+func (trk *Tracker) recordPresence(evt *event, rep *report) {
+	for _, id := range rep.parts {
+		prt := part{
+			model: evt.model,
+			id:    id,
 		}
+		prs, ok := trk.present[prt]
+		if !ok {
+			prs.event = evt
+		}
+		prs.recurs = prs.recurs || prs.event != evt
+		if rep.at.After(prs.lastAt) {
+			prs.lastAt = rep.at
+		}
+		trk.present[prt] = prs
+	}
+}
+
+// forgetRemovedEvents drops what only events that were removed said of parts. The caller holds the lock.
+func (trk *Tracker) forgetRemovedEvents() {
+	if !trk.eventsRemoved {
+		return
+	}
+	trk.eventsRemoved = false
+	clear(trk.present)
+	for _, evt := range trk.events {
 		for idx := range evt.reports {
-			rep := &evt.reports[idx]
-			for _, id := range observed.Parts {
-				prt := part{
-					model: evt.model,
-					id:    id,
-				}
-				if slices.Contains(rep.parts, id) && !trk.isSound(evt.model, id, rep.at) && at.After(trk.survivedAt[prt]) {
-					return true
-				}
-			}
+			trk.recordPresence(evt, &evt.reports[idx])
 		}
 	}
-	return false
 }
 
 // addSurvival adds a survival to times, one of the maps of latest survivals. The caller holds the lock.
@@ -240,11 +284,8 @@
 }
 
 // isSound reports whether a part survived after a crash at the given time, or shortly before it. The caller holds the lock.
-func (trk *Tracker) isSound(model, id string, crashAt time.Time) bool {
-	at, ok := trk.survivedAt[part{
-		model: model,
-		id:    id,
-	}]
+func (trk *Tracker) isSound(prt part, crashAt time.Time) bool {
+	at, ok := trk.survivedAt[prt]
 	return ok && at.After(crashAt.Add(-soundTime))
 }
 
@@ -385,6 +426,7 @@
 	for id, evt := range trk.events {
 		if now.Sub(evt.at) >= Period || (now.Sub(evt.at) >= maxEvidenceAge && !trk.hasSuspects(evt)) {
 			delete(trk.events, id)
+			trk.eventsRemoved = true
 			trk.stale = true
 		}
 	}
