--- a/internal/workspace/budget_test.go
+++ b/internal/workspace/budget_test.go
@@ -34,3 +34,19 @@
 	qt.Assert(t, reg.TakeRetry("two", "first"), qt.IsFalse)
 	qt.Assert(t, reg.TakeRetry("two", "second"), qt.IsTrue)
 }
+
+// TestRestartsGrantNoFurtherRetries guards against a daemon that restarts often and each time has whole retry budgets.
+func TestRestartsGrantNoFurtherRetries(t *testing.T) {
+	const lives, requests = 10, 1000
+	retries := 0
+	for range lives {
+		reg := workspace.New(nil)
+		for range requests {
+			reg.RecordRequest("polishing", "group")
+			if reg.TakeRetry("polishing", "group") {
+				retries++
+			}
+		}
+	}
+	qt.Assert(t, retries <= lives*requests/5+32, qt.IsTrue, qt.Commentf("%d retries", retries))
+}
