Reset refused connections of the stand-in's links before a cut is set

Cause: a goroutine of each connection looked at the cuts when it was woken. On a busy machine it woke after the line had passed, or after the cut had ended, and then reset nothing. TestShortRefuseResetsOpenConnections shows it without load: a cut that is set and lifted at once never reset the connection. Only the stand-in is concerned.

--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -1,12 +1,13 @@
 package link
 
 import (
-	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,27 +57,46 @@
 type Relays struct {
 	faults *fault.Injector[Faults]
 
-	mu        sync.Mutex
-	changed   chan struct{}
-	listeners []net.Listener
+	mu          sync.Mutex
+	changed     chan struct{}
+	listeners   []net.Listener
+	connections map[*connection]struct{}
+}
+
+// connection is an open connection between a client and the target of a relay.
+type connection struct {
+	src    netip.Addr
+	dst    netip.Addr
+	client *net.TCPConn
+	server *net.TCPConn
+}
+
+func (con *connection) reset() {
+	reset(con.client)
+	reset(con.server)
 }
 
 // New returns an empty set of relays without cuts.
 func New() *Relays {
 	rls := &Relays{
-		faults:  fault.New(Faults{}),
-		changed: make(chan struct{}),
+		faults:      fault.New(Faults{}),
+		changed:     make(chan struct{}),
+		connections: map[*connection]struct{}{},
 	}
 	rls.faults.OnSet(func(Faults) {
 		rls.mu.Lock()
-		defer rls.mu.Unlock()
 		close(rls.changed)
 		rls.changed = make(chan struct{})
+		open := slices.Collect(maps.Keys(rls.connections))
+		rls.mu.Unlock()
+		for _, con := range open {
+			rls.resetIfRefused(con)
+		}
 	})
 	return rls
 }
 
-// Set replaces all cuts.
+// Set replaces all cuts. Open connections that are refused have been reset when it returns.
 func (rls *Relays) Set(flt Faults) {
 	rls.faults.Set(flt)
 }
@@ -173,32 +193,32 @@
 		reset(client)
 		return
 	}
-	server := con.(*net.TCPConn)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go rls.resetOnRefuse(ctx, src, dst, client, server)
+	opn := &connection{
+		src:    src,
+		dst:    dst,
+		client: client,
+		server: con.(*net.TCPConn),
+	}
+	rls.mu.Lock()
+	rls.connections[opn] = struct{}{}
+	rls.mu.Unlock()
+	// The cuts may have changed since they were checked.
+	rls.resetIfRefused(opn)
 	var wgr sync.WaitGroup
-	wgr.Go(func() { rls.forward(src, dst, client, server) })
-	wgr.Go(func() { rls.forward(dst, src, server, client) })
+	wgr.Go(func() { rls.forward(src, dst, opn.client, opn.server) })
+	wgr.Go(func() { rls.forward(dst, src, opn.server, opn.client) })
 	wgr.Wait()
-	_ = client.Close()
-	_ = server.Close()
+	rls.mu.Lock()
+	delete(rls.connections, opn)
+	rls.mu.Unlock()
+	_ = opn.client.Close()
+	_ = opn.server.Close()
 }
 
-// resetOnRefuse resets an open connection as soon as a cut of kind Refuse affects it.
-func (rls *Relays) resetOnRefuse(ctx context.Context, src, dst netip.Addr, client, server *net.TCPConn) {
-	for {
-		kind, changed := rls.connectionCut(src, dst)
-		if kind == Refuse {
-			reset(client)
-			reset(server)
-			return
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
+// resetIfRefused resets an open connection if a cut of kind Refuse affects it.
+func (rls *Relays) resetIfRefused(con *connection) {
+	if kind, _ := rls.connectionCut(con.src, con.dst); kind == Refuse {
+		con.reset()
 	}
 }
 
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -158,3 +158,24 @@
 		})
 	}
 }
+
+// Guards against an open connection that outlives a cut of kind Refuse which is short or begins on a busy machine.
+func TestShortRefuseResetsOpenConnections(t *testing.T) {
+	lks, adr := newRelays(t)
+	for range 20 {
+		cli := connect(t, near, adr)
+		cli.write("before")
+		qt.Assert(t, cli.read(time.Second), qt.Equals, "line")
+		lks.Set(link.Faults{
+			Cuts: []link.Cut{
+				{
+					From: netip.PrefixFrom(near, 32),
+					To:   netip.PrefixFrom(far, 32),
+					Kind: link.Refuse,
+				},
+			},
+		})
+		lks.Set(link.Faults{})
+		qt.Assert(t, cli.read(time.Second), qt.Equals, "reset")
+	}
+}
