--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -71,11 +71,7 @@
 func TestUnknownShareGrantsNoReserve(tst *testing.T) {
 	share := 0.0
 	start := time.Unix(1000, 0)
-	bud := retrybudget.New(retrybudget.Config{
-		Ratio:   0.2,
-		Reserve: 130,
-		Window:  10 * time.Second,
-	}, func() float64 { return share }, start)
+	bud := retrybudget.New(exampleConfig(), func() float64 { return share }, start)
 	now := start.Add(time.Minute)
 	qt.Assert(tst, bud.TakeRetry("recipes", now), qt.IsFalse)
 	for range 13 {
--- a/internal/retrybudget/lives_test.go
+++ b/internal/retrybudget/lives_test.go
@@ -10,14 +10,18 @@
 	"github.com/cumintally/cumintally/internal/steppedclock"
 )
 
-// Guards against a reserve that each process of a daemon spends again after a restart.
-func TestRestartsGrantNoFurtherReserve(tst *testing.T) {
-	const daemons = 6
-	cfg := retrybudget.Config{
+func exampleConfig() retrybudget.Config {
+	return retrybudget.Config{
 		Ratio:   0.2,
 		Reserve: 130,
 		Window:  10 * time.Second,
 	}
+}
+
+// Guards against a reserve that each process of a daemon spends again after a restart.
+func TestRestartsGrantNoFurtherReserve(tst *testing.T) {
+	const daemons = 6
+	cfg := exampleConfig()
 	clk := steppedclock.New()
 	start := clk.Now()
 	var buds [daemons]*retrybudget.Budget
@@ -40,11 +44,7 @@
 
 // Guards against counts that a step of the time of day drops.
 func TestClockStepsKeepTheCount(tst *testing.T) {
-	cfg := retrybudget.Config{
-		Ratio:   0.2,
-		Reserve: 130,
-		Window:  10 * time.Second,
-	}
+	cfg := exampleConfig()
 	clk := steppedclock.New()
 	start := clk.Now()
 	bud := retrybudget.New(cfg, func() float64 { return 1 }, start)
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -191,7 +191,7 @@
 		Choose:        plm.Choose,
 		Connect:       sel.Connect,
 		SuspectPath:   sel.Suspect,
-		RecordRequest: acc.bud.RecordRequest,
+		RecordRequest: acc.recordRequest,
 		TakeRetry:     acc.takeRetry,
 		RecordDemand: func(req placement.Request, now time.Time) {
 			if mod := req.RequestedModel(); mod != nil {
--- a/internal/site/retries.go
+++ b/internal/site/retries.go
@@ -17,7 +17,6 @@
 type retryAccount struct {
 	bud *retrybudget.Budget
 	stc *storeCache
-	clk clockwork.Clock
 	log *zap.Logger
 
 	startedAt time.Time
@@ -31,13 +30,17 @@
 	return &retryAccount{
 		bud:       bud,
 		stc:       stc,
-		clk:       clk,
 		log:       log.Named("retries"),
 		startedAt: clk.Now(),
 		loggedAt:  map[string]time.Time{},
 	}
 }
 
+// recordRequest records a request for a service.
+func (acc *retryAccount) recordRequest(service string, now time.Time) {
+	acc.bud.RecordRequest(service, now)
+}
+
 // takeRetry takes one retry from the budget of a service. It reports whether one was left.
 func (acc *retryAccount) takeRetry(service string, now time.Time) bool {
 	if acc.bud.TakeRetry(service, now) {
