Log the number of daemons by which the retry reserve is divided

Found in a last read of the change. The line on a budget that is used up stated 12 daemons while their number is unknown, when the budget grants no reserve at all; it states the number that the budget divides by now, 0 while unknown. Decisions are unchanged; lint, vet and the tests of the packages concerned passed.

--- a/internal/site/retries.go
+++ b/internal/site/retries.go
@@ -66,7 +66,7 @@
 		zap.Int("retries", usg.Retries),
 		zap.Float64("tokens", usg.Tokens),
 		zap.Float64("capacity", usg.Capacity),
-		zap.Int("daemons", acc.stc.daemonCount()),
+		zap.Int("daemons", acc.stc.knownDaemons()),
 		zap.Duration("countingFor", countingFor),
 		// Round strips the monotonic reading, so that the difference is that of the times of day.
 		zap.Duration("clockStep", now.Round(0).Sub(acc.startedAt.Round(0))-countingFor),
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -49,8 +49,7 @@
 
 	mu   sync.Mutex
 	idle map[string][]*Conn
-	// lastReads holds when bytes last arrived on any connection that the pool dialed, in nanoseconds since the Unix epoch, by
-	// address.
+	// lastReads holds when bytes last arrived on any connection that the pool dialed, by address.
 	lastReads map[string]*atomictime.Time
 }
 
