--- a/review/testdata/lab/silentstore.go
+++ b/review/testdata/lab/silentstore.go
@@ -61,12 +61,14 @@
 		from = end
 	}
 	broken, lost := 0, 0
-	var last time.Time
+	last := acked
 	for _, arr := range left.reached() {
 		for _, cli := range clients {
 			if snd, ok := cli.sending(arr.request); ok && snd.at.After(from) && arr.at.After(from) {
 				broken++
-				last = arr.at
+				if arr.at.After(last) {
+					last = arr.at
+				}
 				lab.rec.printf("request %s, sent at %.3f, reached %s at %.3f; the client got status %d, error %v",
 					arr.request, lab.rec.seconds(snd.at), left.id, lab.rec.seconds(arr.at), snd.status, snd.err)
 				if snd.status != http.StatusOK {
@@ -75,8 +77,8 @@
 			}
 		}
 	}
-	lab.rec.printf("%d requests that clients sent after %.3f reached runner %s, which left at %.3f; the last one at %.3f; %d of them got no success",
-		broken, lab.rec.seconds(from), left.id, lab.rec.seconds(acked), lab.rec.seconds(last), lost)
+	lab.rec.printf("%d requests that clients sent after %.3f reached runner %s, which left at %.3f; the last one %.1f s later; %d of them got no success",
+		broken, lab.rec.seconds(from), left.id, lab.rec.seconds(acked), last.Sub(acked).Seconds(), lost)
 	if broken > 0 {
 		return errBroken
 	}
