--- a/review/testdata/lab/lab.go
+++ b/review/testdata/lab/lab.go
@@ -229,8 +229,9 @@
 // plainService is the service of a site without engines.
 const plainService = "ger-orders"
 
-// startPlainSite starts a site with one plain service that has a runner in each zone, and waits until its daemons are ready.
-func (lab *lab) startPlainSite(daemons int, work time.Duration, routes ...map[string]any) ([]*runner, error) {
+// startPlainSite starts a site with one plain service that has some runners in each zone, and waits until its daemons are ready.
+// The first runners are those of different zones.
+func (lab *lab) startPlainSite(daemons, runnersPerZone int, work time.Duration, routes ...map[string]any) ([]*runner, error) {
 	lab.store.Put("config", "main", map[string]any{
 		"version": 3,
 		"routes":  routes,
@@ -243,8 +244,8 @@
 		"limits":  limits,
 	})
 	var runners []*runner
-	for num, zone := range zones {
-		rnr, err := lab.addRunner("i-"+string(rune('a'+num)), plainService, zone, work)
+	for num := range runnersPerZone * len(zones) {
+		rnr, err := lab.addRunner("i-"+string(rune('a'+num)), plainService, zones[num%len(zones)], work)
 		if err != nil {
 			return nil, err
 		}
