--- a/review/testdata/lab/hangup.go
+++ b/review/testdata/lab/hangup.go
@@ -14,7 +14,7 @@
 // runHangup checks that a daemon that stops answers the requests that it has passed on, though its settings file changes
 // meanwhile.
 func runHangup(lab *lab, trouble bool) error {
-	runners, err := lab.startPlainSite(3, 1, 300*time.Millisecond, route("deposit-post", "/deposits/", "non_idempotent", plainService, 1))
+	runners, err := lab.startPlainSite(3, 300*time.Millisecond, route("deposit-post", "/deposits/", "non_idempotent", plainService, 1))
 	if err != nil {
 		return err
 	}
--- a/review/testdata/lab/lab.go
+++ b/review/testdata/lab/lab.go
@@ -22,6 +22,8 @@
 	readyTimeout = 20 * time.Second
 	// stopTimeout is the time that a daemon has to end after SIGTERM before it is killed.
 	stopTimeout = 10 * time.Second
+	// maxOutput bounds the output in bytes that is recorded of a daemon that does not become ready.
+	maxOutput = 4000
 )
 
 // lab holds what a case has started.
@@ -77,27 +79,28 @@
 	_ = os.RemoveAll(lab.folder)
 }
 
-// freePort returns a port that is free at the address ip.
-func freePort(ip string) (int, error) {
-	lst, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
+// freePorts returns different ports that are free at the address ip.
+func freePorts(ip string, num int) ([]int, error) {
+	var ports []int
+	for range num {
+		lst, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		// All are held until the last one is found, so that none is found twice.
+		defer lst.Close()
+		ports = append(ports, lst.Addr().(*net.TCPAddr).Port)
 	}
-	defer lst.Close()
-	return lst.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 // addDaemon starts a daemon at a loopback address of its own.
 func (lab *lab) addDaemon(zone string) (*daemon, error) {
 	num := len(lab.daemons) + 1
 	ip := "127.0.42." + strconv.Itoa(num)
-	var ports []int
-	for range 4 {
-		port, err := freePort(ip)
-		if err != nil {
-			return nil, err
-		}
-		ports = append(ports, port)
+	ports, err := freePorts(ip, 4)
+	if err != nil {
+		return nil, err
 	}
 	lnk, err := newLink(lab.store.Address())
 	if err != nil {
@@ -178,6 +181,8 @@
 	for _, dmn := range lab.daemons {
 		for !isReady(dmn) {
 			if time.Now().After(end) {
+				out, _ := os.ReadFile(dmn.log.Name())
+				lab.rec.printf("the output of %s: %s", dmn.name, out[max(0, len(out)-maxOutput):])
 				return fmt.Errorf("daemon %s is not ready after %v", dmn.name, readyTimeout)
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -226,30 +231,40 @@
 // zones are the availability zones of the small site.
 var zones = []string{"ub-north", "ub-east", "ub-south"}
 
-// plainService is the service of a site without engines.
-const plainService = "ger-orders"
+// plainService is the service of a site without engines, and movedService the one to which a case moves its route.
+const (
+	plainService = "ger-orders"
+	movedService = "ger-orders-new"
+)
 
-// startPlainSite starts a site with one plain service that has some runners in each zone, and waits until its daemons are ready.
-// The first runners are those of different zones.
-func (lab *lab) startPlainSite(daemons, runnersPerZone int, work time.Duration, routes ...map[string]any) ([]*runner, error) {
-	lab.store.Put("config", "main", map[string]any{
-		"version": 3,
-		"routes":  routes,
-		"services": []any{map[string]any{
-			"name":        plainService,
+// putConfig writes a version of the configuration with the given routes and returns when the store has acknowledged it.
+func (lab *lab) putConfig(version int, routes ...map[string]any) time.Time {
+	var services []map[string]any
+	for _, name := range []string{plainService, movedService} {
+		services = append(services, map[string]any{
+			"name":        name,
 			"health-path": "/health",
 			"max-conns":   110,
-		}},
-		"tenants": []any{},
-		"limits":  limits,
+		})
+	}
+	lab.store.Put("config", "main", map[string]any{
+		"version":  version,
+		"routes":   routes,
+		"services": services,
+		"tenants":  []any{},
+		"limits":   limits,
 	})
-	var runners []*runner
-	for num := range runnersPerZone * len(zones) {
-		rnr, err := lab.addRunner("i-"+string(rune('a'+num)), plainService, zones[num%len(zones)], work)
-		if err != nil {
-			return nil, err
-		}
-		runners = append(runners, rnr)
+	at := time.Now()
+	lab.rec.printfAt(at, "store: version %d of the configuration", version)
+	return at
+}
+
+// startPlainSite starts a site with one plain service that has a runner in each zone, and waits until its daemons are ready.
+func (lab *lab) startPlainSite(daemons int, work time.Duration, routes ...map[string]any) ([]*runner, error) {
+	lab.putConfig(3, routes...)
+	runners, err := lab.addRunners("i-", plainService, work)
+	if err != nil {
+		return nil, err
 	}
 	for num := range daemons {
 		if _, err := lab.addDaemon(zones[num%len(zones)]); err != nil {
@@ -258,3 +273,16 @@
 	}
 	return runners, lab.awaitReady()
 }
+
+// addRunners starts a runner of a service in each zone.
+func (lab *lab) addRunners(prefix, service string, work time.Duration) ([]*runner, error) {
+	var runners []*runner
+	for num, zone := range zones {
+		rnr, err := lab.addRunner(prefix+string(rune('a'+num)), service, zone, work)
+		if err != nil {
+			return nil, err
+		}
+		runners = append(runners, rnr)
+	}
+	return runners, nil
+}
--- a/review/testdata/lab/largeanswer.go
+++ b/review/testdata/lab/largeanswer.go
@@ -19,7 +19,7 @@
 
 // runLargeAnswer checks that long answers of sound runners reach the clients whole, though one of three runners turns slow.
 func runLargeAnswer(lab *lab, trouble bool) error {
-	runners, err := lab.startPlainSite(8, 1, 30*time.Millisecond, route("order-list", "/lists/", "idempotent", plainService, 2))
+	runners, err := lab.startPlainSite(8, 30*time.Millisecond, route("order-list", "/lists/", "idempotent", plainService, 2))
 	if err != nil {
 		return err
 	}
--- a/review/testdata/lab/runner.go
+++ b/review/testdata/lab/runner.go
@@ -147,12 +147,6 @@
 	return nil
 }
 
-// exit ends the runner: its connections break and its entry is removed.
-func (rnr *runner) exit() {
-	_ = rnr.srv.Close()
-	rnr.store.Delete("servers", rnr.id)
-}
-
 // reached returns the requests that reached the runner.
 func (rnr *runner) reached() []arrival {
 	rnr.mu.Lock()
