Catch SIGHUP and SIGTERM until the process has exited

Any SIGHUP within the grace time after SIGTERM did it.

Cause: the handler of SIGHUP was installed in a goroutine that started after the settings had been loaded, and taken away again as soon as SIGTERM arrived. The default action of SIGHUP, which ends the process, was in force before, between and after. Ruled out: reading the settings again; the exit status was 'signal: hangup'.

The command now catches its signals in its first statement and never gives them back, so that no default action can come into force while requests are in progress, and logs each signal.

--- a/internal/verb/entry.go
+++ b/internal/verb/entry.go
@@ -4,10 +4,8 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
@@ -47,6 +45,7 @@
 }
 
 func (opt *entryOptions) run(ctx context.Context, _ *cli.Command) error {
+	sgn := catchSignals()
 	set, err := settings.New(opt.settingsPath, os.Environ())
 	if err != nil {
 		return errors.Trace(err)
@@ -61,10 +60,13 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	running, stop := context.WithCancel(ctx)
 	defer stop()
-	go opt.checkSettingsOnHangup(ctx, set, log)
-	return run(ctx)
+	ended, end := context.WithCancel(ctx)
+	defer end()
+	go handle(ended, sgn.stops, log, stop)
+	go handle(ended, sgn.hangups, log, func() { opt.checkSettings(set, log) })
+	return run(running)
 }
 
 // newDaemon creates the daemon for the protocol of the platform and returns its Run method.
@@ -91,25 +93,15 @@
 // the process.
 const memoryLimitShare = 0.7
 
-// checkSettingsOnHangup reads and validates the settings again on SIGHUP and logs whether they differ from those
-// in force. It applies none of them: a change takes effect at the next restart.
-func (opt *entryOptions) checkSettingsOnHangup(ctx context.Context, set *settings.Settings, log *zap.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
-		}
-		next, err := settings.New(opt.settingsPath, os.Environ())
-		if err != nil {
-			log.Error("the new settings are invalid; the previous settings stay in force", zap.Error(err))
-			continue
-		}
-		log.Info("checked the settings again", zap.Bool("needsRestart", !reflect.DeepEqual(next, set)))
+// checkSettings reads and validates the settings again and logs whether they differ from set, those in force. It applies none of
+// them: a change takes effect at the next restart.
+func (opt *entryOptions) checkSettings(set *settings.Settings, log *zap.Logger) {
+	next, err := settings.New(opt.settingsPath, os.Environ())
+	if err != nil {
+		log.Error("the new settings are invalid; the previous settings stay in force", zap.Error(err))
+		return
 	}
+	log.Info("checked the settings again", zap.Bool("needsRestart", !reflect.DeepEqual(next, set)))
 }
 
 // newLogger returns a logger that writes JSON lines to out, and a function that writes the buffered lines and
