Log how long a given up connection and its backend server were silent

The lines of a response that was given up did not tell a connection that fell silent from a server that did, nor one silent server from many at once. No logic changes.

--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -277,6 +277,9 @@
 	switch {
 	case watch.stalled():
 		run.relay.requestMetrics.stalledStreams.Inc(1)
+		run.relay.logger.Info("gave up a response without progress", zap.String("request", run.requestHeaders.RequestID),
+			zap.String("server", server), zap.Bool("firstEventSent", run.committed),
+			zap.Duration("connectionSilentFor", watch.connectionSilence(now)), zap.Duration("serverSilentFor", watch.serverSilence(now)))
 		run.relay.deps.SuspectPath(srv.Address)
 		if run.service.Engine == nil {
 			// For a plain service, one lost response says nothing about other requests to the server.
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -89,6 +89,21 @@
 	wch.relay.outliers.RecordProgress(wch.server, now)
 }
 
+// connectionSilence returns the time since the last progress of the watched response.
+func (wch *stallWatch) connectionSilence(now time.Time) time.Duration {
+	return now.Sub(wch.lastProgress.Load())
+}
+
+// serverSilence returns the time since the last progress of the backend server on any connection of this daemon, or of the watched
+// response if it had none.
+func (wch *stallWatch) serverSilence(now time.Time) time.Duration {
+	silence := wch.connectionSilence(now)
+	if last := wch.relay.outliers.LastProgress(wch.server); !last.IsZero() {
+		silence = min(silence, now.Sub(last))
+	}
+	return silence
+}
+
 func (wch *stallWatch) stalled() bool {
 	return wch.fired.Load()
 }
