Give up a silent response only once it has a replacement

Callers whose servers all fell silent for a second or two lost responses that would have gone on: streams were cut in the middle (LOST), idempotent calls got 502. Reported from real processes beside changes of the configuration.

Cause: the watch for stalls closed the connection first, and only then did the request ask for another server and for a retry. When all servers are silent, the budget has retries for a part of the requests and no server is left.

The watch now chooses the replacement and takes its retry before it gives up the response, and otherwise waits on. A stream that broke off waits for a retry as it does for a server. A retry for which there is no server goes back to the budget.

--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -13,6 +13,7 @@
 	retries           metrics.Counter
 	resumedStreams    metrics.Counter
 	stalledStreams    metrics.Counter
+	stalledWaiting    metrics.Counter
 	retriesOverBudget metrics.Counter
 	callerDisconnects metrics.Counter
 	abortedResponses  metrics.Counter
@@ -29,6 +30,7 @@
 		retries:           metrics.GetOrRegisterCounter("RelayRepeats", reg),
 		resumedStreams:    metrics.GetOrRegisterCounter("RelayResumedStreams", reg),
 		stalledStreams:    metrics.GetOrRegisterCounter("RelayStalledStreams", reg),
+		stalledWaiting:    metrics.GetOrRegisterCounter("RelayStalledWaiting", reg),
 		retriesOverBudget: metrics.GetOrRegisterCounter("RelayRepeatsOverBudget", reg),
 		callerDisconnects: metrics.GetOrRegisterCounter("RelayCallersGone", reg),
 		abortedResponses:  metrics.GetOrRegisterCounter("RelayAnswersCutOff", reg),
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -109,9 +109,10 @@
 	// SuspectPath reports that the backend server at address sent nothing though a response was due.
 	SuspectPath func(address string)
 	// RecordRequest adds a request to the retry budget of a service; TakeRetry takes a retry from it and reports
-	// whether one was left.
+	// whether one was left; ReturnRetry returns one that was not sent.
 	RecordRequest func(service string, now time.Time)
 	TakeRetry     func(service string, now time.Time) bool
+	ReturnRetry   func(service string, now time.Time)
 	// RecordDemand records the work of a request that arrived for the first time, whether or not it will be served.
 	RecordDemand func(request placement.Request, now time.Time)
 	// BlockedFor returns the time for which a request must not run, 0 if it may. ReportCrash records that a connection
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +34,11 @@
 	// retriesLeft is what is left of the retry budget.
 	retriesLeft int
 	choices     int
+	// choicesLeft is the number of choices that find a server, 0 for no limit.
+	choicesLeft int
+	// mu guards the numbers above, since a watch chooses beside the request. inFlight is the number of choices in use.
+	mu       sync.Mutex
+	inFlight atomic.Int32
 	// objective is that of the route, and usualTime the mean time of calls that placement reports.
 	objective time.Duration
 	usualTime time.Duration
@@ -71,8 +78,14 @@
 	dps := relay.Dependencies{
 		Table: func() *route.Table { return tbl },
 		Choose: func(placement.Request, time.Time) (placement.Pick, error) {
+			fix.mu.Lock()
+			defer fix.mu.Unlock()
+			if fix.choicesLeft > 0 && fix.choices >= fix.choicesLeft {
+				return placement.Pick{}, placement.ErrNoServer
+			}
 			adr := fix.addresses[min(fix.choices, len(fix.addresses)-1)]
 			fix.choices++
+			fix.inFlight.Add(1)
 			return placement.Pick{
 				Server: &serverregistry.Server{
 					ID:      adr,
@@ -80,7 +93,7 @@
 				},
 				UsualTime:     fix.usualTime,
 				ResponseBegan: func() {},
-				Release:       func() {},
+				Release:       func() { fix.inFlight.Add(-1) },
 			}, nil
 		},
 		SuspectPath: func(string) {},
@@ -100,8 +113,18 @@
 		RecordRequest: func(string, time.Time) {},
 		RecordDemand:  func(placement.Request, time.Time) {},
 		TakeRetry: func(string, time.Time) bool {
+			fix.mu.Lock()
+			defer fix.mu.Unlock()
+			if fix.retriesLeft == 0 {
+				return false
+			}
 			fix.retriesLeft--
-			return fix.retriesLeft >= 0
+			return true
+		},
+		ReturnRetry: func(string, time.Time) {
+			fix.mu.Lock()
+			defer fix.mu.Unlock()
+			fix.retriesLeft++
 		},
 		BlockedFor:        func(relay.Identity, time.Time) time.Duration { return 0 },
 		ReportCrash:       func(relay.Crash, time.Time) {},
@@ -124,6 +147,13 @@
 	return relay.New(format, dps, outlier.New(), metrics.NewRegistry(), clk, zap.NewNop())
 }
 
+// allowChoices lets num further choices find a server.
+func (fix *fixture) allowChoices(num int) {
+	fix.mu.Lock()
+	defer fix.mu.Unlock()
+	fix.choicesLeft += num
+}
+
 // get sends one request and returns its status.
 func (fix *fixture) get() int {
 	rsp := httptest.NewRecorder()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -104,6 +104,9 @@
 	// excessDelay is how far the forecast for the first token exceeds the route's objective, or the time until a paused
 	// backend server accepts requests again if that is longer.
 	excessDelay time.Duration
+	// replacement is the choice of a backend server for which the latest response was given up, nil if there is none. Its retry has
+	// been taken from the budget.
+	replacement *placement.Pick
 	// serverError is an error response of a backend server, delivered if a retry brings nothing better.
 	serverError *bufferedResponse
 }
@@ -111,6 +114,7 @@
 // serve sends the request until it is answered or may not be retried.
 func (run *run) serve(ctx context.Context) {
 	rly := run.relay
+	defer run.releaseReplacement()
 	rly.requestMetrics.requests.Inc(1)
 	rly.deps.RecordRequest(run.service.Name, run.startedAt)
 	if run.waitedBefore == 0 {
@@ -121,7 +125,7 @@
 			run.endBlocked(ctx, left)
 			return
 		}
-		pick, err := rly.deps.Choose(run.placementRequest(), rly.clock.Now())
+		pick, err := run.nextServer()
 		if err != nil && run.waitToResume(ctx) {
 			continue
 		}
@@ -130,13 +134,6 @@
 			run.fail(ctx, err)
 			return
 		}
-		// A send that reached no backend server adds no load, so that the next one is no retry.
-		if run.arrivals > 0 && !rly.deps.TakeRetry(run.service.Name, rly.clock.Now()) {
-			pick.Release()
-			rly.requestMetrics.retriesOverBudget.Inc(1)
-			run.fail(ctx, errors.New("the budget of repeats is used up"))
-			return
-		}
 		out, err := run.attempt(ctx, pick)
 		pick.Release()
 		if out == answered {
@@ -151,6 +148,47 @@
 	}
 }
 
+// errRetryBudget means that the request may not be sent once more.
+const errRetryBudget = errors.ConstError("the budget of repeats is used up")
+
+// nextServer returns the backend server for the next send. If that send is a retry, it is taken from the budget.
+func (run *run) nextServer() (placement.Pick, error) {
+	if next := run.replacement; next != nil {
+		run.replacement = nil
+		return *next, nil
+	}
+	rly := run.relay
+	// A send that reached no backend server adds no load, so that the next one is no retry.
+	if run.arrivals == 0 {
+		return rly.deps.Choose(run.placementRequest(), rly.clock.Now())
+	}
+	pick, err := rly.chooseForRetry(run.placementRequest(), rly.clock.Now())
+	if errors.Is(err, errRetryBudget) {
+		rly.requestMetrics.retriesOverBudget.Inc(1)
+	}
+	return pick, err
+}
+
+// chooseForRetry chooses a backend server and takes a retry from the budget; it takes none if there is no server.
+func (rly *Relay) chooseForRetry(request placement.Request, now time.Time) (placement.Pick, error) {
+	if !rly.deps.TakeRetry(request.Service.Name, now) {
+		return placement.Pick{}, errRetryBudget
+	}
+	pick, err := rly.deps.Choose(request, now)
+	if err != nil {
+		rly.deps.ReturnRetry(request.Service.Name, now)
+	}
+	return pick, err
+}
+
+// releaseReplacement releases a replacement that is not used, since the request has ended.
+func (run *run) releaseReplacement() {
+	if run.replacement != nil {
+		run.replacement.Release()
+		run.replacement = nil
+	}
+}
+
 // blockedFor returns the time for which the request must not run since it may crash backend servers. A stream of which the
 // caller has received a part has run soundly before.
 func (run *run) blockedFor() time.Duration {
@@ -180,15 +218,23 @@
 
 // canRetry reports whether the request may be sent to another backend server.
 func (run *run) canRetry() bool {
-	most := max(1, run.route.MaxAttempts)
 	if run.runs > 0 && !run.route.Repeatable() {
 		return false
 	}
-	extra := maxExtraSends
+	return run.runs < run.maxAttempts() && run.sends < run.maxSends()
+}
+
+// maxAttempts returns the number of backend servers that may run the request.
+func (run *run) maxAttempts() int {
+	return max(1, run.route.MaxAttempts)
+}
+
+// maxSends returns the number of times that the request may be sent, whether or not a backend server runs it.
+func (run *run) maxSends() int {
 	if run.committed {
-		extra = maxResumeSends
+		return run.maxAttempts() + maxResumeSends
 	}
-	return run.runs < most && run.sends < most+extra
+	return run.maxAttempts() + maxExtraSends
 }
 
 // waitToResume waits for resumeInterval before the next search for a backend server that can resume a stream, and
@@ -255,7 +301,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watch := run.watchStall(pick, cancel)
-	defer watch.stop()
+	defer func() { run.replacement = watch.stop() }()
 	rsp, err := con.Do(ctx, run.buildCall(pick))
 	if errors.Is(err, upstream.ErrNotSent) {
 		return notRun, errors.Trace(err)
@@ -275,11 +321,12 @@
 	event := server + "/" + strconv.FormatInt(srv.StartTime, 10)
 	now := run.relay.clock.Now()
 	switch {
-	case watch.stalled():
+	case watch.gaveUp():
+		connection, all := watch.silences(now)
 		run.relay.requestMetrics.stalledStreams.Inc(1)
 		run.relay.logger.Info("gave up a response without progress", zap.String("request", run.requestHeaders.RequestID),
 			zap.String("server", server), zap.Bool("firstEventSent", run.committed),
-			zap.Duration("connectionSilentFor", watch.connectionSilence(now)), zap.Duration("serverSilentFor", watch.serverSilence(now)))
+			zap.Duration("connectionSilentFor", connection), zap.Duration("serverSilentFor", all))
 		run.relay.deps.SuspectPath(srv.Address)
 		if run.service.Engine == nil {
 			// For a plain service, one lost response says nothing about other requests to the server.
--- /dev/null
+++ b/internal/relay/silence_test.go
@@ -0,0 +1,122 @@
+package relay_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+)
+
+// pausing returns the address of a backend server that falls silent for pause between the parts of each answer, and the number of
+// connections that were closed before their answer was complete.
+func pausing(tst *testing.T, pause time.Duration, parts ...string) (string, *atomic.Int32) {
+	lst, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(tst, err, qt.IsNil)
+	tst.Cleanup(func() { lst.Close() })
+	var givenUp atomic.Int32
+	go func() {
+		for {
+			con, err := lst.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer con.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(con)); err != nil {
+					return
+				}
+				for num, part := range parts {
+					if num > 0 && closedWithin(con, pause) {
+						givenUp.Add(1)
+						return
+					}
+					_, _ = io.WriteString(con, part)
+				}
+			}()
+		}
+	}()
+	return lst.Addr().String(), &givenUp
+}
+
+// closedWithin waits for span and reports whether the peer closes the connection meanwhile.
+func closedWithin(con net.Conn, span time.Duration) bool {
+	_ = con.SetReadDeadline(time.Now().Add(span))
+	_, err := con.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// silence is longer than the time after which the relay takes calls and streams for stalled.
+const silence = 1500 * time.Millisecond
+
+// silentAnswers holds the parts of answers between which a server falls silent.
+var silentAnswers = map[string][]string{
+	"call before its head":          {"", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer"},
+	"call inside its body":          {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nans", "wer"},
+	"stream before its head":        {"", openHead + firstEvent + secondEvent},
+	"stream before its first event": {openHead, firstEvent + secondEvent},
+	"stream between two events":     {openHead + firstEvent, secondEvent},
+	"stream inside an event":        {openHead + firstEvent + "id: 2\n", "data: b\n\n"},
+}
+
+// Guards against answers in progress that are given up because their server is silent, although the request can be sent to no other
+// server: no retry is left, or no server is.
+func TestSilenceWithoutReplacementEndsNoAnswer(tst *testing.T) {
+	for name, parts := range silentAnswers {
+		for _, lack := range []string{"no retry left", "no other server"} {
+			tst.Run(name+", "+lack, func(tst *testing.T) {
+				tst.Parallel()
+				server, givenUp := pausing(tst, silence, parts...)
+				fix := &fixture{
+					tst:       tst,
+					addresses: []string{server},
+				}
+				if lack == "no other server" {
+					fix.retriesLeft = 1
+					fix.choicesLeft = 1
+				}
+				status, body, err := fix.fetch()
+				qt.Check(tst, err, qt.IsNil)
+				qt.Check(tst, status, qt.Equals, http.StatusOK)
+				qt.Check(tst, body == "answer" || body == firstEvent+secondEvent, qt.IsTrue, qt.Commentf("%q", body))
+				qt.Check(tst, givenUp.Load(), qt.Equals, int32(0))
+				qt.Check(tst, fix.retriesLeft >= 0, qt.IsTrue)
+				qt.Check(tst, fix.inFlight.Load(), qt.Equals, int32(0))
+			})
+		}
+	}
+}
+
+// Guards against answers that wait for a silent server although another one would serve them, also one that is found later.
+func TestSilentAnswerMovesOnceItHasAReplacement(tst *testing.T) {
+	for name, parts := range silentAnswers {
+		tst.Run(name, func(tst *testing.T) {
+			tst.Parallel()
+			server, givenUp := pausing(tst, time.Minute, parts...)
+			other, _ := pausing(tst, 0, "", strings.Join(parts, ""))
+			fix := &fixture{
+				tst:         tst,
+				addresses:   []string{server, other},
+				retriesLeft: 1,
+				choicesLeft: 1,
+			}
+			time.AfterFunc(silence, func() { fix.allowChoices(1) })
+			start := time.Now()
+			status, body, err := fix.fetch()
+			qt.Check(tst, err, qt.IsNil)
+			qt.Check(tst, status, qt.Equals, http.StatusOK)
+			qt.Check(tst, body == "answer" || body == firstEvent+secondEvent, qt.IsTrue, qt.Commentf("%q", body))
+			qt.Check(tst, time.Since(start) >= silence, qt.IsTrue)
+			qt.Check(tst, givenUp.Load(), qt.Equals, int32(1))
+			qt.Check(tst, fix.retriesLeft, qt.Equals, 0)
+			qt.Check(tst, fix.inFlight.Load(), qt.Equals, int32(0))
+		})
+	}
+}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
-	"github.com/cumintally/cumintally/internal/atomictime"
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/serverregistry"
 )
 
 const (
@@ -22,22 +26,33 @@
 	// and retries would add to it.
 	callStallShare  = 0.65
 	callStallFactor = 3
-	// stallCheckInterval is the minimum time between two checks while other streams of the server make progress.
+	// stallCheckInterval is the time between two checks of a stalled response, and the minimum while other streams of the server
+	// make progress.
 	stallCheckInterval = 150 * time.Millisecond
 )
 
-// stallWatch cancels the read of a stream whose backend server sends nothing on any stream of this daemon. A stream
-// that only queues at a busy backend server is not cancelled.
+// stallWatch gives up a response of which nothing arrives, once the request can be sent to another backend server instead. Silence
+// alone is no reason to give up a response: it may go on, as after a pause of all servers, and without a replacement nothing is
+// better. A stream that only queues at a busy backend server is not given up.
 type stallWatch struct {
 	relay   *Relay
-	server  string
+	server  *serverregistry.Server
 	timeout time.Duration
 	// sharedStreams is set if bytes of any stream of the server count as progress.
 	sharedStreams bool
-	cancel        context.CancelFunc
-	timer         *time.Timer
-	lastProgress  atomictime.Time
-	fired         atomic.Bool
+	// replace returns the choice of another backend server, to which the request may be sent once more.
+	replace func(begun bool) (placement.Pick, error)
+	cancel  context.CancelFunc
+
+	mu           sync.Mutex
+	timer        *time.Timer
+	lastProgress time.Time
+	// begun is set once bytes of the response have arrived, and ended once it is no longer watched.
+	begun bool
+	ended bool
+	// waiting is set once the response was found stalled and could not be replaced.
+	waiting     bool
+	replacement *placement.Pick
 }
 
 // stallTimeout returns the time without a byte after which a request counts as stalled.
@@ -55,61 +70,124 @@
 // watchStall starts a watch for a request that can be retried; for any other request the watch never fires.
 func (run *run) watchStall(pick placement.Pick, cancel context.CancelFunc) *stallWatch {
 	wch := &stallWatch{
-		relay:  run.relay,
-		server: pick.Server.ID,
-		cancel: cancel,
+		relay:        run.relay,
+		server:       pick.Server,
+		cancel:       cancel,
+		lastProgress: run.relay.clock.Now(),
 
 		sharedStreams: run.service.Engine != nil,
 	}
-	if !run.route.Repeatable() || run.runs+1 >= max(1, run.route.MaxAttempts) {
+	if !run.route.Repeatable() || run.runs+1 >= run.maxAttempts() || run.sends >= run.maxSends() {
 		return wch
 	}
+	wch.replace = run.replacer(pick.Server.ID)
 	wch.timeout = run.stallTimeout(pick.UsualTime)
-	wch.lastProgress.Store(run.relay.clock.Now())
+	wch.mu.Lock()
+	defer wch.mu.Unlock()
 	wch.timer = time.AfterFunc(wch.timeout, wch.check)
 	return wch
 }
 
+// replacer returns the function by which a stallWatch replaces the backend server called server. It runs beside the attempt, and
+// uses nothing of the run that changes meanwhile.
+func (run *run) replacer(server string) func(begun bool) (placement.Pick, error) {
+	rly, identity, deadline := run.relay, run.identity(), run.deadline
+	request := run.placementRequest()
+	request.Avoid = append(request.Avoid, server)
+	request.MaxUsefulForecast = nil
+	return func(begun bool) (placement.Pick, error) {
+		now := rly.clock.Now()
+		if !begun && rly.deps.BlockedFor(identity, now) > 0 {
+			return placement.Pick{}, errors.New("the request may crash backend servers")
+		}
+		request.StartWithin = deadline.Sub(now)
+		return rly.chooseForRetry(request, now)
+	}
+}
+
+// check gives up the response if it is stalled and has a replacement.
 func (wch *stallWatch) check() {
-	last := wch.lastProgress.Load()
-	if prg := wch.relay.outliers.LastProgress(wch.server); wch.sharedStreams && prg.After(last) {
-		last = prg
+	wch.mu.Lock()
+	defer wch.mu.Unlock()
+	if wch.ended {
+		return
+	}
+	now := wch.relay.clock.Now()
+	silence := wch.connectionSilence(now)
+	if wch.sharedStreams {
+		silence = wch.serverSilence(now)
 	}
-	if left := wch.timeout - wch.relay.clock.Since(last); left > 0 {
+	if left := wch.timeout - silence; left > 0 {
 		wch.timer.Reset(max(left, stallCheckInterval))
 		return
 	}
-	wch.fired.Store(true)
+	pick, err := wch.replace(wch.begun)
+	if err != nil {
+		wch.waitOn(silence, err)
+		return
+	}
+	wch.replacement = &pick
 	wch.cancel()
 }
 
-// recordProgress records that bytes of the stream arrived at now.
+// waitOn lets a stalled response go on that cannot be replaced yet because of cause. The caller holds the lock.
+func (wch *stallWatch) waitOn(silence time.Duration, cause error) {
+	if !wch.waiting {
+		wch.waiting = true
+		wch.relay.requestMetrics.stalledWaiting.Inc(1)
+		wch.relay.logger.Info("waiting on for a response without progress, which cannot be replaced",
+			zap.String("server", wch.server.ID), zap.Bool("begun", wch.begun), zap.Duration("silentFor", silence), logging.Error(cause))
+		// If the path is what failed, another one can be found.
+		wch.relay.deps.SuspectPath(wch.server.Address)
+	}
+	wch.timer.Reset(stallCheckInterval)
+}
+
+// recordProgress records that bytes of the response arrived at now.
 func (wch *stallWatch) recordProgress(now time.Time) {
-	wch.lastProgress.Store(now)
-	wch.relay.outliers.RecordProgress(wch.server, now)
+	wch.relay.outliers.RecordProgress(wch.server.ID, now)
+	wch.mu.Lock()
+	defer wch.mu.Unlock()
+	wch.lastProgress = now
+	wch.begun = true
 }
 
-// connectionSilence returns the time since the last progress of the watched response.
+// connectionSilence returns the time since the last progress of the watched response. The caller holds the lock.
 func (wch *stallWatch) connectionSilence(now time.Time) time.Duration {
-	return now.Sub(wch.lastProgress.Load())
+	return now.Sub(wch.lastProgress)
 }
 
 // serverSilence returns the time since the last progress of the backend server on any connection of this daemon, or of the watched
-// response if it had none.
+// response if it had none. The caller holds the lock.
 func (wch *stallWatch) serverSilence(now time.Time) time.Duration {
 	silence := wch.connectionSilence(now)
-	if last := wch.relay.outliers.LastProgress(wch.server); !last.IsZero() {
+	if last := wch.relay.outliers.LastProgress(wch.server.ID); !last.IsZero() {
 		silence = min(silence, now.Sub(last))
 	}
 	return silence
 }
 
-func (wch *stallWatch) stalled() bool {
-	return wch.fired.Load()
+// silences returns connectionSilence and serverSilence.
+func (wch *stallWatch) silences(now time.Time) (connection, server time.Duration) {
+	wch.mu.Lock()
+	defer wch.mu.Unlock()
+	return wch.connectionSilence(now), wch.serverSilence(now)
+}
+
+// gaveUp reports whether the response was given up for a replacement.
+func (wch *stallWatch) gaveUp() bool {
+	wch.mu.Lock()
+	defer wch.mu.Unlock()
+	return wch.replacement != nil
 }
 
-func (wch *stallWatch) stop() {
+// stop ends the watch and returns the replacement for which the response was given up, nil if it was not.
+func (wch *stallWatch) stop() *placement.Pick {
+	wch.mu.Lock()
+	defer wch.mu.Unlock()
+	wch.ended = true
 	if wch.timer != nil {
 		wch.timer.Stop()
 	}
+	return wch.replacement
 }
--- a/internal/relay/stall_internal_test.go
+++ b/internal/relay/stall_internal_test.go
@@ -7,6 +7,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cumintally/cumintally/internal/outlier"
+	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/serverregistry"
 	"github.com/cumintally/cumintally/internal/steppedclock"
 )
 
@@ -37,7 +39,10 @@
 					outliers: outlier.New(),
 					clock:    clk,
 				},
-				server:        "vm-1",
+				server: &serverregistry.Server{
+					ID: "vm-1",
+				},
+				replace:       func(bool) (placement.Pick, error) { return placement.Pick{}, nil },
 				sharedStreams: true,
 				timeout:       time.Second,
 				timer:         time.NewTimer(time.Hour),
@@ -48,7 +53,7 @@
 			clk.Step(cas.step)
 			clk.Advance(cas.silence)
 			wch.check()
-			qt.Assert(tst, wch.stalled(), qt.Equals, cas.stalled)
+			qt.Assert(tst, wch.gaveUp(), qt.Equals, cas.stalled)
 		})
 	}
 }
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -90,6 +90,15 @@
 	return true
 }
 
+// ReturnRetry returns a retry that was taken and not sent.
+func (bud *Budget) ReturnRetry(service string, now time.Time) {
+	bud.mu.Lock()
+	defer bud.mu.Unlock()
+	bkt := bud.refill(service, now)
+	bkt.tokens++
+	bkt.retries--
+}
+
 // Usage is what this process has counted for a service.
 type Usage struct {
 	// Requests are those in the last window, and Retries those since the process started.
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -193,6 +193,7 @@
 		SuspectPath:   sel.Suspect,
 		RecordRequest: acc.recordRequest,
 		TakeRetry:     acc.takeRetry,
+		ReturnRetry:   acc.bud.ReturnRetry,
 		RecordDemand: func(req placement.Request, now time.Time) {
 			if mod := req.RequestedModel(); mod != nil {
 				work := admission.Work(req.Service.Engine, mod, req.PromptTokens, req.ExpectedTokens)
