--- a/internal/relay/broken_stream_test.go
+++ b/internal/relay/broken_stream_test.go
@@ -11,8 +11,9 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// rawServer returns the address of a backend server that answers each request with text and closes the connection.
-func rawServer(tst *testing.T, text string) string {
+// serveConnections returns the address of a backend server that reads one request on each connection, calls answer and closes the
+// connection.
+func serveConnections(tst *testing.T, answer func(con net.Conn)) string {
 	lst, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(tst, err, qt.IsNil)
 	tst.Cleanup(func() { lst.Close() })
@@ -24,16 +25,20 @@
 			}
 			go func() {
 				defer con.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(con)); err != nil {
-					return
+				if _, err := http.ReadRequest(bufio.NewReader(con)); err == nil {
+					answer(con)
 				}
-				_, _ = io.WriteString(con, text)
 			}()
 		}
 	}()
 	return lst.Addr().String()
 }
 
+// rawServer returns the address of a backend server that answers each request with text and closes the connection.
+func rawServer(tst *testing.T, text string) string {
+	return serveConnections(tst, func(con net.Conn) { _, _ = io.WriteString(con, text) })
+}
+
 const (
 	firstEvent  = "id: 1\ndata: a\n\n"
 	secondEvent = "id: 2\ndata: b\n\n"
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -1,7 +1,6 @@
 package relay_test
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -18,32 +17,17 @@
 // pausing returns the address of a backend server that falls silent for pause between the parts of each answer, and the number of
 // connections that were closed before their answer was complete.
 func pausing(tst *testing.T, pause time.Duration, parts ...string) (string, *atomic.Int32) {
-	lst, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(tst, err, qt.IsNil)
-	tst.Cleanup(func() { lst.Close() })
 	var givenUp atomic.Int32
-	go func() {
-		for {
-			con, err := lst.Accept()
-			if err != nil {
+	server := serveConnections(tst, func(con net.Conn) {
+		for num, part := range parts {
+			if num > 0 && closedWithin(con, pause) {
+				givenUp.Add(1)
 				return
 			}
-			go func() {
-				defer con.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(con)); err != nil {
-					return
-				}
-				for num, part := range parts {
-					if num > 0 && closedWithin(con, pause) {
-						givenUp.Add(1)
-						return
-					}
-					_, _ = io.WriteString(con, part)
-				}
-			}()
+			_, _ = io.WriteString(con, part)
 		}
-	}()
-	return lst.Addr().String(), &givenUp
+	})
+	return server, &givenUp
 }
 
 // closedWithin waits for span and reports whether the peer closes the connection meanwhile.
