Release the server of a response that is cut

After a response over 64 KB broke off, or a resumed stream got an error, the backend server counted as having a request in flight for the rest of the daemon's life. A plain server that was then idle for 400 ms looked stalled and was ejected.

Cause: the choice of a server was released after the attempt returned, but a response is cut by a panic, http.ErrAbortHandler, which does not return. The attempt now releases it however it ends.

internal/relay TestCutAnswerLeavesNothingInFlight failed before (1 in flight).

--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -135,7 +135,6 @@
 			return
 		}
 		out, err := run.attempt(ctx, pick)
-		pick.Release()
 		if out == answered {
 			return
 		}
@@ -282,8 +281,10 @@
 	}
 }
 
-// attempt sends the request to one backend server.
+// attempt sends the request to one backend server and releases pick.
 func (run *run) attempt(ctx context.Context, pick placement.Pick) (outcome, error) {
+	// A response that is aborted ends the goroutine of the request by a panic.
+	defer pick.Release()
 	rly := run.relay
 	run.sends++
 	run.pick = pick
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -104,3 +105,28 @@
 		})
 	}
 }
+
+// longBody is longer than what is buffered before a response is forwarded.
+var longBody = strings.Repeat("0123456789abcdef", 10<<10)
+
+// longParts returns the parts of an answer with longBody, whose head states its length.
+func longParts(num int) []string {
+	parts := []string{"HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(longBody)) + "\r\n\r\n"}
+	for size := len(longBody) / num; len(parts) <= num; {
+		begin := (len(parts) - 1) * size
+		parts = append(parts, longBody[begin:begin+size])
+	}
+	return parts
+}
+
+// Guards against a backend server that counts as busy, and as stalled, for good after an answer of it was cut.
+func TestCutAnswerLeavesNothingInFlight(tst *testing.T) {
+	parts := longParts(2)
+	fix := &fixture{
+		tst:       tst,
+		addresses: []string{rawServer(tst, parts[0]+parts[1])},
+	}
+	_, _, err := fix.fetch()
+	qt.Check(tst, err, qt.IsNotNil)
+	qt.Check(tst, fix.inFlight.Load(), qt.Equals, int32(0))
+}
