Do not take slow callers and long answers for silence

A stream whose caller read slowly moved to another server.

Cause: the watch for stalls counts the time since recorded progress. None was recorded while a long answer was forwarded, which nothing can replace once a part of it is with the caller, and none while the relay waits for a slow caller and reads nothing.

The watch ends with the first part of a long answer and with a complete one, and does not count the time in which a caller receives an event.

--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -46,7 +46,7 @@
 	server := srv.ID
 	body, err := readBuffered(res)
 	if errors.Is(err, errTooLargeToBuffer) {
-		return run.forwardUnbuffered(server, res, rhd, body)
+		return run.forwardUnbuffered(ctx, watch, srv, res, rhd, body)
 	}
 	if err != nil {
 		res.Finish(false)
@@ -54,6 +54,7 @@
 	}
 	res.Finish(true)
 	watch.recordProgress(run.relay.clock.Now())
+	watch.end()
 	rsp := &bufferedResponse{
 		status: res.StatusCode,
 		header: res.Header,
@@ -122,12 +123,18 @@
 	run.recordCompletion(server, rsp.status)
 }
 
-// forwardUnbuffered forwards a response to the caller while reading it; head is what was read so far.
-func (run *run) forwardUnbuffered(server string, res *upstream.Response, rhd ResponseHeaders, head []byte) (outcome, error) {
+// forwardUnbuffered forwards a response to the caller while reading it; head is what was read so far. From then on only the server
+// itself can complete it.
+func (run *run) forwardUnbuffered(ctx context.Context, watch *stallWatch, srv *serverregistry.Server, res *upstream.Response, rhd ResponseHeaders, head []byte) (outcome, error) {
+	server := srv.ID
 	if fault := responseFault(res, rhd); fault != "" || run.committed {
 		res.Finish(false)
 		return unknown, errors.Errorf("backend server %s: %s", server, fault)
 	}
+	if !watch.end() {
+		res.Finish(false)
+		return unknown, run.recordBrokenConnection(ctx, watch, srv, errors.New("given up for another backend server"))
+	}
 	run.commitHeaders(res.Header)
 	if res.ContentLength >= 0 {
 		run.writer.Header().Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -52,7 +52,7 @@
 			pick.ResponseBegan()
 			watch.recordProgress(now)
 			run.recordWriting(now, false)
-			if perr := run.forwardEvent(rsp.Header, evt); perr != nil {
+			if perr := watch.deliver(func() error { return run.forwardEvent(rsp.Header, evt) }); perr != nil {
 				rsp.Finish(false)
 				run.recordDisconnect(perr)
 				return answered, nil
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
@@ -119,6 +120,24 @@
 	return parts
 }
 
+// Guards against long answers that are cut once a part of them has been forwarded, when the time for stalled calls has passed, although
+// bytes keep arriving and nothing can replace the rest (review/3).
+func TestLongAnswerOfSlowServerIsForwardedWhole(tst *testing.T) {
+	// More than what is buffered arrives within 0.5 s, and the whole answer within 1 s.
+	slow, givenUp := pausing(tst, 60*time.Millisecond, longParts(16)...)
+	other, _ := pausing(tst, 0, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+	fix := &fixture{
+		tst:         tst,
+		addresses:   []string{slow, other},
+		retriesLeft: 1,
+	}
+	status, body, err := fix.fetch()
+	qt.Check(tst, err, qt.IsNil)
+	qt.Check(tst, status, qt.Equals, http.StatusOK)
+	qt.Check(tst, body == longBody, qt.IsTrue, qt.Commentf("%d bytes", len(body)))
+	qt.Check(tst, givenUp.Load(), qt.Equals, int32(0))
+}
+
 // Guards against a backend server that counts as busy, and as stalled, for good after an answer of it was cut.
 func TestCutAnswerLeavesNothingInFlight(tst *testing.T) {
 	parts := longParts(2)
@@ -130,3 +149,44 @@
 	qt.Check(tst, err, qt.IsNotNil)
 	qt.Check(tst, fix.inFlight.Load(), qt.Equals, int32(0))
 }
+
+// slowCaller is a caller that takes long to read each part of a response.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+
+	wait time.Duration
+}
+
+func (slc slowCaller) Write(part []byte) (int, error) {
+	time.Sleep(slc.wait)
+	return slc.ResponseRecorder.Write(part)
+}
+
+// Guards against a server that counts as silent while a slow caller reads: the relay reads nothing meanwhile.
+func TestSlowCallerIsNoSilence(tst *testing.T) {
+	for name, answer := range map[string]string{
+		"call":   "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer",
+		"stream": openHead + firstEvent + secondEvent,
+		"long":   strings.Join(longParts(1), ""),
+	} {
+		tst.Run(name, func(tst *testing.T) {
+			tst.Parallel()
+			server, _ := pausing(tst, 0, answer)
+			fix := &fixture{
+				tst:         tst,
+				addresses:   []string{server},
+				retriesLeft: 1,
+			}
+			rsp := httptest.NewRecorder()
+			caller := slowCaller{
+				ResponseRecorder: rsp,
+				wait:             silence,
+			}
+			fix.handler().ServeHTTP(caller, httptest.NewRequest(http.MethodGet, "http://shop/status", nil))
+			qt.Check(tst, rsp.Code, qt.Equals, http.StatusOK)
+			qt.Check(tst, strings.HasSuffix(answer, rsp.Body.String()), qt.IsTrue)
+			qt.Check(tst, fix.choices, qt.Equals, 1)
+			qt.Check(tst, fix.retriesLeft, qt.Equals, 1)
+		})
+	}
+}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -50,6 +50,8 @@
 	// begun is set once bytes of the response have arrived, and ended once it is no longer watched.
 	begun bool
 	ended bool
+	// delivering is set while the caller receives a part of the response. Nothing is read meanwhile.
+	delivering bool
 	// waiting is set once the response was found stalled and could not be replaced.
 	waiting     bool
 	replacement *placement.Pick
@@ -117,7 +119,7 @@
 	if wch.sharedStreams {
 		silence = wch.serverSilence(now)
 	}
-	if left := wch.timeout - silence; left > 0 {
+	if left := wch.timeout - silence; left > 0 || wch.delivering {
 		wch.timer.Reset(max(left, stallCheckInterval))
 		return
 	}
@@ -152,6 +154,20 @@
 	wch.begun = true
 }
 
+// deliver calls write, which may wait for a slow caller. That time does not count as silence.
+func (wch *stallWatch) deliver(write func() error) error {
+	wch.setDelivering(true)
+	defer wch.setDelivering(false)
+	return write()
+}
+
+func (wch *stallWatch) setDelivering(on bool) {
+	wch.mu.Lock()
+	defer wch.mu.Unlock()
+	wch.delivering = on
+	wch.lastProgress = wch.relay.clock.Now()
+}
+
 // connectionSilence returns the time since the last progress of the watched response. The caller holds the lock.
 func (wch *stallWatch) connectionSilence(now time.Time) time.Duration {
 	return now.Sub(wch.lastProgress)
@@ -174,6 +190,14 @@
 	return wch.connectionSilence(now), wch.serverSilence(now)
 }
 
+// end ends the watch, since nothing can replace the response any more. It returns false if the response has been given up already.
+func (wch *stallWatch) end() bool {
+	wch.mu.Lock()
+	defer wch.mu.Unlock()
+	wch.ended = true
+	return wch.replacement == nil
+}
+
 // gaveUp reports whether the response was given up for a replacement.
 func (wch *stallWatch) gaveUp() bool {
 	wch.mu.Lock()
@@ -181,7 +205,7 @@
 	return wch.replacement != nil
 }
 
-// stop ends the watch and returns the replacement for which the response was given up, nil if it was not.
+// stop releases the watch and returns the replacement for which the response was given up, nil if it was not.
 func (wch *stallWatch) stop() *placement.Pick {
 	wch.mu.Lock()
 	defer wch.mu.Unlock()
