--- a/internal/standin/fleet/build.go
+++ b/internal/standin/fleet/build.go
@@ -19,7 +19,7 @@
 		return "", errors.Trace(err)
 	}
 	args := []string{"build", "-o", dir + string(filepath.Separator)}
-	if raceDetectorEnabled {
+	if RaceDetectorEnabled {
 		args = append(args, "-race")
 	}
 	cmd := exec.Command("go", append(args, modulePath+"/cmd/...")...)
--- a/internal/standin/fleet/norace.go
+++ b/internal/standin/fleet/norace.go
@@ -2,6 +2,6 @@
 
 package fleet
 
-// raceDetectorEnabled says whether this program is built with the race detector; the started programs are then
+// RaceDetectorEnabled says whether this program is built with the race detector; the started programs are then
 // built with it too.
-const raceDetectorEnabled = false
+const RaceDetectorEnabled = false
