Limit what a faulty server can make the product's own interface keep

Report of another operator: a faulty server sent bytes without end, in a head or in a body, and the daemon that had called it ran out of memory, with the requests of other callers. On the product's own interface that could happen: a hundred calls at once took over a gigabyte for heads, 487 MB and more for bodies, a hundred streams 1,626 MB.

Cause: net/http accepts heads of 10 MB unless told otherwise; each call buffered a body of up to 8 MB in a buffer that grows by copying, any number at once; a line of a stream could have 1 MB.

HTTP clients for backend servers limit heads, and lines of streams, to 64 KB.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -14,8 +14,15 @@
 	"github.com/juju/errors"
 )
 
-// maxEventSize is the maximum size in bytes of a line of a stream and of the body of any other reply.
-const maxEventSize = 1 << 20
+const (
+	// MaxHeadSize is the limit in bytes that HTTP clients for backend servers set on the headers of a response. Hundreds of such
+	// heads fit into the memory of a small VM.
+	MaxHeadSize = 64 << 10
+	// maxLineSize is the maximum size in bytes of a line of a stream, which holds a frame with a few tokens.
+	maxLineSize = 64 << 10
+	// maxReplySize is the maximum size in bytes of the body of any other reply.
+	maxReplySize = 1 << 20
+)
 
 // Client sends requests to model engines at their IP:port addresses.
 type Client struct {
@@ -87,7 +94,7 @@
 // NewStream returns a stream that reads server-sent events from body. Closing the stream closes body.
 func NewStream(body io.ReadCloser) *Stream {
 	scn := bufio.NewScanner(body)
-	scn.Buffer(make([]byte, 0, 4096), maxEventSize)
+	scn.Buffer(make([]byte, 0, 4096), maxLineSize)
 	scn.Split(completeLines)
 	return &Stream{
 		body:    body,
@@ -103,9 +110,9 @@
 	}
 	defer res.Body.Close()
 	if answer == nil {
-		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxEventSize))
+		_, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxReplySize))
 	} else {
-		err = json.NewDecoder(io.LimitReader(res.Body, maxEventSize)).Decode(answer)
+		err = json.NewDecoder(io.LimitReader(res.Body, maxReplySize)).Decode(answer)
 	}
 	if err != nil {
 		return errors.Annotate(ErrBroken, err.Error())
--- a/internal/entry/orderclient.go
+++ b/internal/entry/orderclient.go
@@ -19,6 +19,8 @@
 		Transport: &http.Transport{
 			DisableKeepAlives: true,
 			DialContext:       orderDialer(timeout).DialContext,
+
+			MaxResponseHeaderBytes: backend.MaxHeadSize,
 		},
 	})
 }
--- a/internal/entry/providers.go
+++ b/internal/entry/providers.go
@@ -72,6 +72,8 @@
 			MaxIdleConnsPerHost:   64,
 			ResponseHeaderTimeout: responseHeaderTimeout,
 			DisableCompression:    true,
+
+			MaxResponseHeaderBytes: backend.MaxHeadSize,
 		},
 	})
 }
--- a/internal/servicecall/client.go
+++ b/internal/servicecall/client.go
@@ -68,6 +68,7 @@
 	keys            KeyStore
 	readiness       *readinessChecker
 	pauses          *pauseDetector
+	bodies          bodyReader
 	clk             clockwork.Clock
 	log             *zap.Logger
 	vms             func() []objects.VM
@@ -84,6 +85,7 @@
 		pauses: &pauseDetector{
 			clk: clk,
 		},
+		bodies:          newBodyReader(),
 		clk:             clk,
 		log:             log.Named("servicecall"),
 		vms:             vms,
@@ -174,7 +176,7 @@
 		check: func() error { return cli.mayStart(startCtx, adr, req) },
 		dial:  cli.Dial,
 	}
-	ans, err := send(startCtx, runCtx, gat, adr, req)
+	ans, err := send(startCtx, runCtx, gat, cli.bodies, adr, req)
 	if err != nil {
 		cli.log.Warn("call to a backend server failed",
 			zap.String("request", req.RequestID),
--- a/internal/servicecall/client_test.go
+++ b/internal/servicecall/client_test.go
@@ -236,7 +236,7 @@
 				check: func() error { return fix.cli.mayStart(ctx, adr, req) },
 			}
 			cse.change(fix, clk, cancel)
-			_, err := send(context.Background(), context.Background(), gat, adr, req)
+			_, err := send(context.Background(), context.Background(), gat, newBodyReader(), adr, req)
 			c.Assert(err, qt.IsNotNil)
 			c.Assert(gat.close(err), qt.IsTrue)
 			c.Assert(up.calls.Load(), qt.Equals, int64(0))
--- a/internal/servicecall/readiness.go
+++ b/internal/servicecall/readiness.go
@@ -8,6 +8,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
+
+	"github.com/cumintally/cumintally/internal/backend"
 )
 
 const (
@@ -51,9 +53,10 @@
 	return &readinessChecker{
 		htc: &http.Client{
 			Transport: &http.Transport{
-				DialContext:         dial,
-				MaxIdleConnsPerHost: 1,
-				IdleConnTimeout:     time.Minute,
+				DialContext:            dial,
+				MaxIdleConnsPerHost:    1,
+				IdleConnTimeout:        time.Minute,
+				MaxResponseHeaderBytes: backend.MaxHeadSize,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/servicecall/send.go
+++ b/internal/servicecall/send.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -22,7 +21,7 @@
 
 // send opens a connection before startCtx ends and runs one call over it until runCtx ends. ErrNotSent means that the
 // gate never opened, so that no byte of the call was sent or will be sent.
-func send(startCtx, runCtx context.Context, gat *gate, adr string, req Request) (Response, error) {
+func send(startCtx, runCtx context.Context, gat *gate, rdr bodyReader, adr string, req Request) (Response, error) {
 	hrq, err := newHTTPRequest(runCtx, adr, req)
 	if err != nil {
 		return Response{}, errors.Annotate(backend.ErrNotSent, err.Error())
@@ -43,13 +42,13 @@
 		return Response{}, errors.Annotate(backend.ErrBroken, err.Error())
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseSize+1))
+	body, err := rdr.read(runCtx, res.Body)
+	if errors.Is(err, errResponseTooLarge) {
+		return Response{}, errors.Trace(err)
+	}
 	if err != nil {
 		return Response{}, errors.Annotate(backend.ErrBroken, err.Error())
 	}
-	if len(body) > maxResponseSize {
-		return Response{}, errors.Trace(errResponseTooLarge)
-	}
 	return Response{
 		Status:      res.StatusCode,
 		ContentType: res.Header.Get("Content-Type"),
@@ -74,8 +73,9 @@
 func transport(con net.Conn) *http.Transport {
 	used := false
 	return &http.Transport{
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: backend.MaxHeadSize,
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
 			if used {
 				return nil, errors.Annotate(backend.ErrBroken, "the connection of this call was used already")
--- /dev/null
+++ b/internal/standin/memory/doc.go
@@ -0,0 +1,2 @@
+// Package memory measures the memory that code under test takes.
+package memory
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -7,13 +7,13 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cumintally/cumintally/internal/standin/memory"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
@@ -119,36 +119,19 @@
 	})
 	pol := newPool()
 	defer closePool(pol)
-	var before, during runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	var wgr sync.WaitGroup
-	peak := uint64(0)
-	for range servers {
-		wgr.Go(func() {
-			ctx, cancel := context.WithTimeout(tst.Context(), 10*time.Second)
-			defer cancel()
-			if err := callAndDiscard(ctx, pol, srv.lst.Addr().String()); err == nil {
-				tst.Error("endless headers were accepted as a response")
-			}
-		})
-	}
-	done := make(chan struct{})
-	go func() {
-		wgr.Wait()
-		close(done)
-	}()
-	for {
-		select {
-		case <-done:
-			tst.Logf("peak heap growth: %d MB", peak>>20)
-			qt.Assert(tst, peak < most, qt.IsTrue, qt.Commentf("%d MB", peak>>20))
-			return
-		case <-time.After(5 * time.Millisecond):
-			runtime.ReadMemStats(&during)
-			if during.HeapAlloc > before.HeapAlloc {
-				peak = max(peak, during.HeapAlloc-before.HeapAlloc)
-			}
+	peak := memory.PeakGrowth(func() {
+		var wgr sync.WaitGroup
+		for range servers {
+			wgr.Go(func() {
+				ctx, cancel := context.WithTimeout(tst.Context(), 10*time.Second)
+				defer cancel()
+				if err := callAndDiscard(ctx, pol, srv.lst.Addr().String()); err == nil {
+					tst.Error("endless headers were accepted as a response")
+				}
+			})
 		}
-	}
+		wgr.Wait()
+	})
+	tst.Logf("peak heap growth: %d MB", peak>>20)
+	qt.Assert(tst, peak < most, qt.IsTrue, qt.Commentf("%d MB", peak>>20))
 }
