Never send a request again on a connection that has carried it

Reported from real processes: requests that must run once ran twice (TWICE), and requests that were refused with a promise had run (REFUSED). No reported case could be reproduced as it is. A property test of the relay found one way to both.

Cause: responses are told apart by the ID of their request, which all its sends share. A server that rejects a send and writes its response twice, at an address that is registered under two IDs, as after a restart, gets the second send on the same kept connection; the second copy is taken for the response to it while the server runs the request. Requests without an ID took any unnamed response.

A connection now remembers its latest requests, and the relay takes another one for a request that it has carried, or that has no ID. That the reported cases have this cause is suspected, not shown.

--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -44,6 +45,13 @@
 	usualTime time.Duration
 	// connectDelay is the time that every connection takes.
 	connectDelay time.Duration
+	// kind, timeout and attempts are those of the route; by default it is idempotent, with 5 s and two attempts.
+	kind     route.Kind
+	timeout  time.Duration
+	attempts int
+	// choose replaces the choice by addresses, and format the headers, unless they are nil.
+	choose func(request placement.Request) (placement.Pick, error)
+	format *relay.HeaderFormat
 }
 
 func (fix *fixture) handler() http.Handler {
@@ -53,10 +61,10 @@
 				Name:        "status",
 				Host:        "shop",
 				PathPrefix:  "/",
-				Kind:        route.Idempotent,
-				Timeout:     5 * time.Second,
+				Kind:        cmp.Or(fix.kind, route.Idempotent),
+				Timeout:     cmp.Or(fix.timeout, 5*time.Second),
 				Objective:   fix.objective,
-				MaxAttempts: 2,
+				MaxAttempts: cmp.Or(fix.attempts, 2),
 				Public:      true,
 				Targets: []route.Target{
 					{
@@ -77,7 +85,10 @@
 	fix.tst.Cleanup(func() { pol.Trim(func(string) bool { return false }) })
 	dps := relay.Dependencies{
 		Table: func() *route.Table { return tbl },
-		Choose: func(placement.Request, time.Time) (placement.Pick, error) {
+		Choose: func(req placement.Request, _ time.Time) (placement.Pick, error) {
+			if fix.choose != nil {
+				return fix.choose(req)
+			}
 			fix.mu.Lock()
 			defer fix.mu.Unlock()
 			if fix.choicesLeft > 0 && fix.choices >= fix.choicesLeft {
@@ -144,6 +155,9 @@
 			}
 		},
 	}
+	if fix.format != nil {
+		format = *fix.format
+	}
 	return relay.New(format, dps, outlier.New(), metrics.NewRegistry(), clk, zap.NewNop())
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -292,7 +292,7 @@
 	run.writingSince = time.Time{}
 	run.survived = false
 	srv := pick.Server
-	con, err := rly.deps.Connect(ctx, srv.Address, firstConnectTimeout<<(run.sends-1))
+	con, err := run.connect(ctx, srv.Address)
 	if err != nil {
 		if ctx.Err() == nil && !errors.Is(err, upstream.ErrPathBroken) {
 			rly.outliers.Eject(srv.ID, rly.clock.Now())
@@ -315,6 +315,20 @@
 	return run.handleResponse(ctx, watch, pick, rsp)
 }
 
+// connect returns a connection to the backend server at address on which the response to the request can be told from earlier ones. One
+// that has carried the request before cannot be used: the server may have restarted under another ID, or be registered under two.
+func (run *run) connect(ctx context.Context, address string) (*upstream.Conn, error) {
+	for {
+		con, err := run.relay.deps.Connect(ctx, address, firstConnectTimeout<<(run.sends-1))
+		if err != nil || con.Distinguishes(run.requestHeaders.RequestID) {
+			return con, errors.Trace(err)
+		}
+		run.relay.logger.Info("closing a kept connection on which a response could belong to an earlier send",
+			zap.String("request", run.requestHeaders.RequestID), zap.String("address", address), zap.Int("send", run.sends))
+		con.Close()
+	}
+}
+
 // recordBrokenConnection records a connection that ended before the response was complete.
 func (run *run) recordBrokenConnection(ctx context.Context, watch *stallWatch, srv *serverregistry.Server, err error) error {
 	server := srv.ID
@@ -380,6 +394,7 @@
 		Priority:    run.sendPriority(pick.Forecast),
 	})
 	return upstream.Request{
+		ID:     run.requestHeaders.RequestID,
 		Method: run.request.Method,
 		Target: run.target,
 		Host:   run.request.Host,
@@ -387,10 +402,10 @@
 		Body:   run.body,
 		Match: func(res *http.Response) upstream.Match {
 			switch run.relay.format.ParseResponse(res).RequestID {
-			case run.requestHeaders.RequestID:
-				return upstream.Same
 			case "":
 				return upstream.Unnamed
+			case run.requestHeaders.RequestID:
+				return upstream.Same
 			default:
 				return upstream.Other
 			}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -18,6 +19,8 @@
 
 // Request is one request to a backend server.
 type Request struct {
+	// ID is that by which responses name this request.
+	ID     string
 	Method string
 	// Target is the path and query as the caller sent them.
 	Target string
@@ -65,6 +68,7 @@
 		con.Close()
 		return nil, errors.WithType(errors.Trace(ctx.Err()), ErrNotSent)
 	}
+	con.recordCarried(rqs.ID)
 	if _, err := con.Write(rqs.encode()); err != nil {
 		return fail(err)
 	}
@@ -107,6 +111,25 @@
 	return fail(errors.New("too many answers to other requests"))
 }
 
+// carriedRequests is the number of latest requests on a connection whose IDs are kept.
+const carriedRequests = 8
+
+// recordCarried records that a request is sent on the connection.
+func (con *Conn) recordCarried(id string) {
+	con.carried = append(con.carried, id)
+	con.carried = con.carried[max(0, len(con.carried)-carriedRequests):]
+}
+
+// Distinguishes reports whether the response to the request called id can be told from responses to earlier requests on the connection.
+// It cannot if the request has no ID, or was sent on the connection before: a second copy of its first response would be taken for the
+// response to the second send.
+func (con *Conn) Distinguishes(id string) bool {
+	if id == "" {
+		return len(con.carried) == 0
+	}
+	return !slices.Contains(con.carried, id)
+}
+
 func (rqs *Request) match(res *http.Response) Match {
 	if rqs.Match == nil {
 		return Same
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -66,6 +66,8 @@
 	reused bool
 	// singleUse is set if the connection serves one request only.
 	singleUse bool
+	// carried holds the IDs of the latest requests.
+	carried []string
 }
 
 // New returns an empty pool that counts new connections in dialed.
