Connect to the store anew after a call that timed out

Cause: a watch that timed out, after 3 s, went on on an idle connection of the pool, which had fallen silent at the same moment, for 3 s more. Each idle connection cost one time-out.

A call that times out now closes the idle connections. The store client of the product's own interface did the same and is fixed with it.

--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -167,11 +167,13 @@
 	}
 	res, err := cli.htc.Do(req)
 	if err != nil {
+		CloseAfterTimeout(ctx, cli.htc)
 		return response{}, errors.Annotate(TransportError(method, err), err.Error())
 	}
 	defer res.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(res.Body, 64<<20))
 	if err != nil {
+		CloseAfterTimeout(ctx, cli.htc)
 		return response{}, errors.Annotate(TransportError(method, err), err.Error())
 	}
 	if err := StatusError(method, res.StatusCode); err != nil {
@@ -183,6 +185,16 @@
 	}, nil
 }
 
+// CloseAfterTimeout closes the idle connections of a client if the time for a call has run out, which ctx tells, and reports whether it
+// has. The connections may have fallen silent together with that of the call, and the next calls would time out on them.
+func CloseAfterTimeout(ctx context.Context, htc *http.Client) bool {
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return false
+	}
+	htc.CloseIdleConnections()
+	return true
+}
+
 // TransportError returns the error for a call that failed without a response: ErrUnavailable for a read or a call
 // whose connection could not be opened, and ErrUnknownOutcome for a write that may have been sent.
 func TransportError(method string, err error) error {
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -100,8 +100,9 @@
 		},
 	}
 	storeMetrics := platform.StoreMetrics{
-		Calls: metrics.GetOrRegisterCounter("PlatformCalls", met),
-		Era:   metrics.GetOrRegisterGauge("PlatformStoreEra", met),
+		Calls:    metrics.GetOrRegisterCounter("PlatformCalls", met),
+		Timeouts: metrics.GetOrRegisterCounter("PlatformTimeouts", met),
+		Era:      metrics.GetOrRegisterGauge("PlatformStoreEra", met),
 	}
 	return platform.NewStore(set.Platform.Address, htc, set.Platform.Timeout, storeMetrics, log).Objects()
 }
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -69,6 +70,8 @@
 	dst    netip.Addr
 	client *net.TCPConn
 	server *net.TCPConn
+	// silent is set once nothing that either end sends arrives any more.
+	silent atomic.Bool
 }
 
 func (con *connection) reset() {
@@ -76,6 +79,13 @@
 	reset(con.server)
 }
 
+// endSilently ends a silent connection after one of its ends has closed it. A client must not see the close of its server.
+func (con *connection) endSilently(closed *net.TCPConn) {
+	if closed == con.client {
+		_ = con.server.Close()
+	}
+}
+
 // New returns an empty set of relays without cuts.
 func New() *Relays {
 	rls := &Relays{
@@ -101,6 +111,18 @@
 	rls.faults.Set(flt)
 }
 
+// SilenceOpen makes the open connections to relays that listen in to silent for good: neither data nor a close arrives. New
+// connections work.
+func (rls *Relays) SilenceOpen(to netip.Prefix) {
+	rls.mu.Lock()
+	defer rls.mu.Unlock()
+	for con := range rls.connections {
+		if to.Contains(con.dst) {
+			con.silent.Store(true)
+		}
+	}
+}
+
 // Handler returns the HTTP control interface: GET and PUT /faults return and replace the cuts, PUT /relays opens a
 // relay and responds with status 409 if its address cannot be listened on.
 func (rls *Relays) Handler() http.Handler {
@@ -205,8 +227,8 @@
 	// The cuts may have changed since they were checked.
 	rls.resetIfRefused(opn)
 	var wgr sync.WaitGroup
-	wgr.Go(func() { rls.forward(src, dst, opn.client, opn.server) })
-	wgr.Go(func() { rls.forward(dst, src, opn.server, opn.client) })
+	wgr.Go(func() { rls.forward(src, dst, opn, opn.client, opn.server) })
+	wgr.Go(func() { rls.forward(dst, src, opn, opn.server, opn.client) })
 	wgr.Wait()
 	rls.mu.Lock()
 	delete(rls.connections, opn)
@@ -223,8 +245,8 @@
 }
 
 // forward copies data from src to dst. It holds the data back during a cut of kind Drop and delays it during a cut of
-// kind Delay.
-func (rls *Relays) forward(src, dst netip.Addr, from, to *net.TCPConn) {
+// kind Delay. Data of a silent connection is lost.
+func (rls *Relays) forward(src, dst netip.Addr, con *connection, from, to *net.TCPConn) {
 	buf := make([]byte, 16<<10)
 	for {
 		num, err := from.Read(buf)
@@ -235,7 +257,7 @@
 		if cut.Kind == Delay {
 			time.Sleep(cut.Wait)
 		}
-		if num > 0 {
+		if num > 0 && !con.silent.Load() {
 			if _, werr := to.Write(buf[:num]); werr != nil {
 				reset(from)
 				return
@@ -244,6 +266,10 @@
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil && con.silent.Load() {
+			con.endSilently(from)
+			return
+		}
 		if err != nil {
 			// A half close must arrive as a half close and a reset as a reset, so that an aborted response does not
 			// look complete.
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -179,3 +180,28 @@
 		qt.Assert(t, cli.read(time.Second), qt.Equals, "reset")
 	}
 }
+
+// Guards against a silent connection on which data or a close still arrives, and against new connections that are silent as well.
+func TestSilenceOpen(t *testing.T) {
+	rls, adr := newRelays(t)
+	old, err := net.Dial("tcp", adr)
+	qt.Assert(t, err, qt.IsNil)
+	defer old.Close()
+	rdr := bufio.NewReader(old)
+	fmt.Fprintln(old, "before")
+	line, err := rdr.ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, line, qt.Equals, "before\n")
+	rls.SilenceOpen(netip.PrefixFrom(far, 32))
+	fmt.Fprintln(old, "after")
+	_ = old.SetReadDeadline(time.Now().Add(dropCheckTime))
+	_, err = rdr.ReadString('\n')
+	qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
+	fresh, err := net.Dial("tcp", adr)
+	qt.Assert(t, err, qt.IsNil)
+	defer fresh.Close()
+	fmt.Fprintln(fresh, "new")
+	line, err = bufio.NewReader(fresh).ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, line, qt.Equals, "new\n")
+}
