Keep deadlines of requests after the VM was suspended

After a suspension of S seconds every later deadline and timeout of a request came S seconds late, so that a request at a hanging server was not answered at its route's timeout.

Cause: context.WithDeadline got a time of the clock that includes suspensions and waits on the steady clock, which does not. The context now gets the time that is left.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -81,7 +81,8 @@
 		run.reject(ref)
 		return
 	}
-	ctx, cancel := context.WithDeadline(request.Context(), run.deadline)
+	// A context waits on the steady clock, whose times do not include suspensions as those of rly.clock may.
+	ctx, cancel := context.WithTimeout(request.Context(), run.deadline.Sub(rly.clock.Now()))
 	defer cancel()
 	stop := context.AfterFunc(rly.ended, cancel)
 	defer stop()
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -52,6 +52,8 @@
 	// choose replaces the choice by addresses, and format the headers, unless they are nil.
 	choose func(request placement.Request) (placement.Pick, error)
 	format *relay.HeaderFormat
+	// clock is the real clock if it is nil.
+	clock clockwork.Clock
 }
 
 func (fix *fixture) handler() http.Handler {
@@ -80,7 +82,10 @@
 			},
 		},
 	})
-	clk := clockwork.NewRealClock()
+	clk := fix.clock
+	if clk == nil {
+		clk = clockwork.NewRealClock()
+	}
 	pol := upstream.New((&net.Dialer{}).DialContext, clk, metrics.NewCounter())
 	fix.tst.Cleanup(func() { pol.Trim(func(string) bool { return false }) })
 	dps := relay.Dependencies{
