Close kept connections to a server that is suspected and silent

After the open connections to a backend server had gone silent, while new ones worked, requests waited on one kept connection after the other; up to 16 are kept.

When a server is suspected, since a response was due and nothing came, and no byte has arrived from it for 300 ms, its kept connections are closed.

--- a/internal/serverpath/selector.go
+++ b/internal/serverpath/selector.go
@@ -41,7 +41,7 @@
 	// peerBackoff is the time for which a daemon that opened no tunnel is asked after the others.
 	peerBackoff = time.Second
 	// readTimeout is the time since the last byte of a server after which kept connections to it are no longer used while
-	// new ones fail.
+	// new ones fail, or while it is suspected.
 	readTimeout = 300 * time.Millisecond
 )
 
@@ -143,8 +143,12 @@
 }
 
 // Suspect checks in the background whether the server at address, which could not be reached or sent nothing, and others are
-// cut off from this daemon.
+// cut off from this daemon. If nothing has arrived from the server for a time, its kept connections may be silent while new ones work,
+// and are closed.
 func (sel *Selector) Suspect(address string) {
+	if sel.clock.Since(sel.pool.LastRead(address)) >= readTimeout {
+		sel.pool.CloseIdle(address)
+	}
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	sel.suspects[address] = true
