--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -35,7 +35,9 @@
 // alone is no reason to give up a response: it may go on, as after a pause of all servers, and without a replacement nothing is
 // better. A stream that only queues at a busy backend server is not given up.
 type stallWatch struct {
-	relay   *Relay
+	relay *Relay
+	// request is the ID of the request.
+	request string
 	server  *serverregistry.Server
 	timeout time.Duration
 	// sharedStreams is set if bytes of any stream of the server count as progress.
@@ -73,6 +75,7 @@
 func (run *run) watchStall(pick placement.Pick, cancel context.CancelFunc) *stallWatch {
 	wch := &stallWatch{
 		relay:        run.relay,
+		request:      run.requestHeaders.RequestID,
 		server:       pick.Server,
 		cancel:       cancel,
 		lastProgress: run.relay.clock.Now(),
@@ -137,7 +140,7 @@
 	if !wch.waiting {
 		wch.waiting = true
 		wch.relay.requestMetrics.stalledWaiting.Inc(1)
-		wch.relay.logger.Info("waiting on for a response without progress, which cannot be replaced",
+		wch.relay.logger.Info("waiting on for a response without progress, which cannot be replaced", zap.String("request", wch.request),
 			zap.String("server", wch.server.ID), zap.Bool("begun", wch.begun), zap.Duration("silentFor", silence), logging.Error(cause))
 		// If the path is what failed, another one can be found.
 		wch.relay.deps.SuspectPath(wch.server.Address)
@@ -190,8 +193,9 @@
 	return wch.connectionSilence(now), wch.serverSilence(now)
 }
 
-// end ends the watch, since nothing can replace the response any more. It returns false if the response has been given up already.
-func (wch *stallWatch) end() bool {
+// disarm ends the watch, since the response is complete or nothing can replace it any more. It returns false if the response has been
+// given up already.
+func (wch *stallWatch) disarm() bool {
 	wch.mu.Lock()
 	defer wch.mu.Unlock()
 	wch.ended = true
