Derive what two fields and a method of the change repeated

No behaviour changes. stallWatch.disarm did what stop does, which may be called twice; Conn.reused said that a connection has carried an earlier request, which the IDs of its requests say since they are kept.

Tests of internal/relay and internal/upstream pass with the race detector, among them the property test, which fails if unnamed responses on kept connections count.

--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -54,7 +54,7 @@
 	}
 	res.Finish(true)
 	watch.recordProgress(run.relay.clock.Now())
-	watch.disarm()
+	watch.stop()
 	rsp := &bufferedResponse{
 		status: res.StatusCode,
 		header: res.Header,
@@ -131,7 +131,7 @@
 		res.Finish(false)
 		return unknown, errors.Errorf("backend server %s: %s", server, fault)
 	}
-	if !watch.disarm() {
+	if watch.stop() != nil {
 		res.Finish(false)
 		return unknown, run.recordBrokenConnection(ctx, watch, srv, errors.New("given up for another backend server"))
 	}
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -193,15 +193,6 @@
 	return wch.connectionSilence(now), wch.serverSilence(now)
 }
 
-// disarm ends the watch, since the response is complete or nothing can replace it any more. It returns false if the response has been
-// given up already.
-func (wch *stallWatch) disarm() bool {
-	wch.mu.Lock()
-	defer wch.mu.Unlock()
-	wch.ended = true
-	return wch.replacement == nil
-}
-
 // gaveUp reports whether the response was given up for a replacement.
 func (wch *stallWatch) gaveUp() bool {
 	wch.mu.Lock()
@@ -209,7 +200,8 @@
 	return wch.replacement != nil
 }
 
-// stop releases the watch and returns the replacement for which the response was given up, nil if it was not.
+// stop ends the watch, since the response is complete, broken, or nothing can replace it any more. It returns the replacement for which
+// the response was given up before, nil if it was not. It may be called again.
 func (wch *stallWatch) stop() *placement.Pick {
 	wch.mu.Lock()
 	defer wch.mu.Unlock()
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		match := rqs.match(res)
-		if match == Unnamed && con.reused {
+		if match == Unnamed && len(con.carried) > 1 {
 			return fail(errors.New("the answer does not name its request and may belong to an earlier one"))
 		}
 		if match != Other {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -62,11 +62,9 @@
 	reader      *bufio.Reader
 	idleTimeout time.Duration
 	idleSince   time.Time
-	// reused is set once a request has been answered on the connection.
-	reused bool
 	// singleUse is set if the connection serves one request only.
 	singleUse bool
-	// carried holds the IDs of the latest requests.
+	// carried holds the IDs of the latest requests, among them the one in progress.
 	carried []string
 }
 
@@ -198,7 +196,6 @@
 
 func (pol *Pool) putIdle(con *Conn) {
 	con.idleSince = pol.clock.Now()
-	con.reused = true
 	pol.mu.Lock()
 	defer pol.mu.Unlock()
 	if len(pol.idle[con.address]) >= maxIdlePerServer {
