Give the tests one faulty server that sends without end

Four tests each had a loop that repeats bytes until the peer closes; they share internal/standin/endless now. The tests keep their assertions.

--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -1,11 +1,8 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -15,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cumintally/cumintally/internal/backend"
+	"github.com/cumintally/cumintally/internal/standin/endless"
 	"github.com/cumintally/cumintally/internal/standin/memory"
 )
 
@@ -34,17 +32,7 @@
 		"line":  {"HTTP/1.1 200 OK\r\n\r\ndata: ", "x"},
 		"error": {"HTTP/1.1 500 Internal Server Error\r\n\r\n", "x"},
 	} {
-		srv := httptest.NewServer(http.HandlerFunc(func(rsw http.ResponseWriter, _ *http.Request) {
-			con, _, err := http.NewResponseController(rsw).Hijack()
-			if err != nil {
-				return
-			}
-			defer con.Close()
-			_, err = io.WriteString(con, texts[0])
-			for chunk := bytes.Repeat([]byte(texts[1]), 32<<10); err == nil; {
-				_, err = con.Write(chunk)
-			}
-		}))
+		srv := httptest.NewServer(endless.Handler(texts[0], texts[1]))
 		tst.Cleanup(srv.Close)
 		for client, cli := range clients {
 			tst.Run(client+", "+name, func(tst *testing.T) {
--- a/internal/relay/once_property_test.go
+++ b/internal/relay/once_property_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -264,11 +265,7 @@
 // Guards against a request that must not run twice and does, one that ran and is reported as not run, and an answer to another request
 // (issue 45: TWICE, REFUSED), for any order of what backend servers may do on kept connections.
 func TestRequestsRunAtMostOnceAtOddServers(tst *testing.T) {
-	names := make([]string, 0, len(oddBehaviours))
-	for name := range oddBehaviours {
-		names = append(names, name)
-	}
-	slices.Sort(names)
+	names := slices.Sorted(maps.Keys(oddBehaviours))
 	rapid.Check(tst, func(rpt *rapid.T) {
 		sit := &oddSite{
 			// Sound answers in between keep connections open.
--- a/internal/servicecall/endless_test.go
+++ b/internal/servicecall/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -13,24 +12,10 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/cumintally/cumintally/internal/standin/endless"
 	"github.com/cumintally/cumintally/internal/standin/memory"
 )
 
-// pourAfter returns a handler that sends begin and then repeats text until the caller closes the connection.
-func pourAfter(begin, text string) http.HandlerFunc {
-	return func(rsw http.ResponseWriter, _ *http.Request) {
-		con, _, err := http.NewResponseController(rsw).Hijack()
-		if err != nil {
-			return
-		}
-		defer con.Close()
-		_, err = io.WriteString(con, begin)
-		for chunk := bytes.Repeat([]byte(text), 1+(32<<10)/len(text)); err == nil; {
-			_, err = con.Write(chunk)
-		}
-	}
-}
-
 // Guards against memory exhaustion by calls to a faulty server that sends bytes without end (report of another operator): many of
 // them at once must fit into a part of the 184 MB of the smallest VM.
 func TestEndlessAnswersFitIntoMemory(t *testing.T) {
@@ -39,10 +24,10 @@
 		most  = 128 << 20
 	)
 	for name, handler := range map[string]http.HandlerFunc{
-		"head":            pourAfter("HTTP/1.1 200 OK\r\nX: ", "x"),
-		"interim answers": pourAfter("", "HTTP/1.1 102 Processing\r\n\r\n"),
-		"body":            pourAfter("HTTP/1.1 200 OK\r\n\r\n", "body"),
-		"chunks":          pourAfter("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"),
+		"head":            endless.Handler("HTTP/1.1 200 OK\r\nX: ", "x"),
+		"interim answers": endless.Handler("", "HTTP/1.1 102 Processing\r\n\r\n"),
+		"body":            endless.Handler("HTTP/1.1 200 OK\r\n\r\n", "body"),
+		"chunks":          endless.Handler("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			faulty := newBackendServer(t, handler)
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -1,7 +1,6 @@
 package upstream_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -13,62 +12,53 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cumintally/cumintally/internal/standin/endless"
 	"github.com/cumintally/cumintally/internal/standin/memory"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
-// pour writes text repeatedly to a connection until the peer closes it.
-func pour(con net.Conn, text string) {
-	chunk := bytes.Repeat([]byte(text), 1+(32<<10)/len(text))
-	for {
-		if _, err := con.Write(chunk); err != nil {
-			return
-		}
-	}
-}
-
-// endless holds the ways in which a backend server can send endless bytes that never complete a response. Do reports
+// endlessAnswers holds the ways in which a backend server can send endless bytes that never complete a response. Do reports
 // those that never complete the headers, Discard the others.
-var endless = map[string]func(con net.Conn, id string){
-	"status line": func(con net.Conn, _ string) { pour(con, "H") },
+var endlessAnswers = map[string]func(con net.Conn, id string){
+	"status line": func(con net.Conn, _ string) { endless.Pour(con, "", "H") },
 	"one header": func(con net.Conn, _ string) {
 		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nX: ")
-		pour(con, "x")
+		endless.Pour(con, "", "x")
 	},
 	"many headers": func(con net.Conn, _ string) {
 		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\n")
-		pour(con, "Name: value\r\n")
+		endless.Pour(con, "", "Name: value\r\n")
 	},
-	"interim answers": func(con net.Conn, _ string) { pour(con, "HTTP/1.1 102 Processing\r\n\r\n") },
+	"interim answers": func(con net.Conn, _ string) { endless.Pour(con, "", "HTTP/1.1 102 Processing\r\n\r\n") },
 	"body of another request": func(con net.Conn, _ string) {
 		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nId: another\r\nTransfer-Encoding: chunked\r\n\r\n")
-		pour(con, "4\r\nbody\r\n")
+		endless.Pour(con, "", "4\r\nbody\r\n")
 	},
 	"answers of another request": func(con net.Conn, _ string) {
-		pour(con, "HTTP/1.1 200 OK\r\nId: another\r\nContent-Length: 1\r\n\r\nx")
+		endless.Pour(con, "", "HTTP/1.1 200 OK\r\nId: another\r\nContent-Length: 1\r\n\r\nx")
 	},
 	"chunk extension": func(con net.Conn, id string) {
 		_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n4;", id)
-		pour(con, "x")
+		endless.Pour(con, "", "x")
 	},
 	"trailer": func(con net.Conn, id string) {
 		_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", id)
-		pour(con, "Name: value\r\n")
+		endless.Pour(con, "", "Name: value\r\n")
 	},
 	"chunks": func(con net.Conn, id string) {
 		_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
-		pour(con, "4\r\nbody\r\n")
+		endless.Pour(con, "", "4\r\nbody\r\n")
 	},
 	"body without length": func(con net.Conn, id string) {
 		_, _ = fmt.Fprintf(con, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n", id)
-		pour(con, "body")
+		endless.Pour(con, "", "body")
 	},
 }
 
 // Guards against a backend server whose bytes never complete a response and keep the connection busy: the connection
 // must be closed long before the caller's deadline.
 func TestEndlessBytesEndTheConnection(tst *testing.T) {
-	for name, send := range endless {
+	for name, send := range endlessAnswers {
 		tst.Run(name, func(tst *testing.T) {
 			ended := make(chan struct{})
 			srv := newServer(tst, func(con net.Conn, req *http.Request, _ int) bool {
@@ -114,7 +104,7 @@
 	)
 	srv := newServer(tst, func(con net.Conn, _ *http.Request, _ int) bool {
 		_, _ = io.WriteString(con, "HTTP/1.1 200 OK\r\nX: ")
-		pour(con, "x")
+		endless.Pour(con, "", "x")
 		return false
 	})
 	pol := newPool()
