Log the age of a daemon's copies and count messages by kind

Readiness and copies that become out of date are logged with their ages, the end of a request with the age of its configuration, and every five seconds the messages that were sent, those caused by news of a crash among them. On a site with hubs only the lease holder logs changes of backend servers at level Info.

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -46,6 +46,7 @@
 
 	self       Identity
 	key        []byte
+	registry   metrics.Registry
 	log        *zap.Logger
 	httpClient *http.Client
 
@@ -73,6 +74,7 @@
 		Clock:          clockwork.NewRealClock(),
 		self:           self,
 		key:            key,
+		registry:       registry,
 		log:            log.Named("peer"),
 		bytesSent:      metrics.GetOrRegisterCounter("PeerBytesSent", registry),
 		bytesReceived:  metrics.GetOrRegisterCounter("PeerBytesReceived", registry),
@@ -161,10 +163,23 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return lnk.writeFrame(ctx, Frame{
+	err = lnk.writeFrame(ctx, Frame{
 		Kind: kind,
 		Body: data,
 	})
+	if err == nil {
+		msh.bytesSentOf(kind).Inc(int64(len(data)))
+	}
+	return errors.Trace(err)
+}
+
+// BytesSent returns the total size of the bodies that Send has sent in frames of a kind.
+func (msh *Mesh) BytesSent(kind string) int64 {
+	return msh.bytesSentOf(kind).Count()
+}
+
+func (msh *Mesh) bytesSentOf(kind string) metrics.Counter {
+	return metrics.GetOrRegisterCounter("PeerBytesSent"+kind, msh.registry)
 }
 
 // linkTo returns an authenticated link to the daemon at adr and connects if there is none.
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -114,7 +114,10 @@
 		zap.Duration("time", run.deadline.Sub(run.startedAt)),
 	)
 	if run.table != nil {
-		fields = append(fields, zap.Uint64("configuration", run.table.Config.Version))
+		fields = append(fields,
+			zap.Uint64("configuration", run.table.Config.Version),
+			zap.Duration("configurationAge", run.relay.deps.ConfigurationAge()),
+		)
 	}
 	if run.route != nil {
 		fields = append(fields, zap.String("route", run.route.Name), zap.Duration("objective", run.route.Objective))
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -89,7 +89,8 @@
 	pol := upstream.New((&net.Dialer{}).DialContext, clk, metrics.NewCounter())
 	fix.tst.Cleanup(func() { pol.Trim(func(string) bool { return false }) })
 	dps := relay.Dependencies{
-		Table: func() *route.Table { return tbl },
+		Table:            func() *route.Table { return tbl },
+		ConfigurationAge: func() time.Duration { return 0 },
 		Choose: func(req placement.Request, _ time.Time) (placement.Pick, error) {
 			if fix.choose != nil {
 				return fix.choose(req)
--- a/internal/site/gossip.go
+++ b/internal/site/gossip.go
@@ -48,6 +48,8 @@
 	// keyRetryInterval is the time between two attempts to load the key. A daemon that has not found a key for
 	// keyCreateDelay creates one, even if it is not the first by name: reads of the store may be some seconds stale.
 	keyRetryInterval = 400 * time.Millisecond
+	// totalsInterval is the time between two log lines with the totals of the messages that were sent.
+	totalsInterval = 5 * time.Second
 	keyCreateDelay   = 4 * time.Second
 )
 
@@ -111,6 +113,10 @@
 
 	crashes  *broadcastBuffer[quarantine.Crash]
 	stopping *broadcastBuffer[serverregistry.Process]
+
+	// rounds counts the rounds of messages, and urgentRounds those that news of a crash caused.
+	rounds       metrics.Counter
+	urgentRounds metrics.Counter
 }
 
 // peerBackoff is the backoff of a peer that cannot be reached.
@@ -142,6 +148,7 @@
 	cex *crashExchange,
 	rej *rejections.Tracker,
 	les *lease.Lease,
+	met metrics.Registry,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *gossip {
@@ -167,6 +174,9 @@
 		sending:  map[string]bool{},
 		crashes:  newBroadcastBuffer[quarantine.Crash](clk),
 		stopping: newBroadcastBuffer[serverregistry.Process](clk),
+
+		rounds:       metrics.GetOrRegisterCounter("PeerRounds", met),
+		urgentRounds: metrics.GetOrRegisterCounter("PeerUrgentRounds", met),
 	}
 	msh.Handle(frameKindGossip, func(_ context.Context, from peer.Identity, body []byte) (any, error) {
 		var msg gossipMessage
@@ -234,19 +244,31 @@
 	}
 	var keeper sync.WaitGroup
 	keeper.Go(func() { gsp.keepKey(ctx) })
+	keeper.Go(func() { gsp.logTotals(ctx) })
 	defer keeper.Wait()
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
+		gsp.rounds.Inc(1)
 		gsp.sendRound(ctx, sequence)
 		gsp.waitForRound(ctx)
 	}
 }
 
+// logTotals logs the totals of the messages that this daemon sent since its start, at intervals until ctx ends.
+func (gsp *gossip) logTotals(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, gsp.clk, totalsInterval)
+		gsp.log.Info("messages sent to the other daemons", zap.Int64("rounds", gsp.rounds.Count()), zap.Int64("urgentRounds", gsp.urgentRounds.Count()),
+			zap.Int64("bytes", gsp.msh.BytesSent(frameKindGossip)), zap.Int64("crashBytes", gsp.msh.BytesSent(frameKindCrashes)))
+	}
+}
+
 // waitForRound waits for the interval between two rounds, or for minRoundInterval if a crash is to be sent.
 func (gsp *gossip) waitForRound(ctx context.Context) {
 	sleep(ctx, gsp.clk, minRoundInterval)
 	select {
 	case <-ctx.Done():
 	case <-gsp.cex.urgent:
+		gsp.urgentRounds.Inc(1)
 	case <-gsp.clk.After(loadview.Interval(gsp.stc.daemonCount()) - minRoundInterval):
 	}
 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -35,6 +35,8 @@
 	// trimInterval is the time between two removals of idle connections and of the state of backend servers that are no
 	// longer registered.
 	trimInterval = time.Second
+	// copyCheckInterval is the time between two checks whether the daemon's copies of the store's objects are current.
+	copyCheckInterval = 100 * time.Millisecond
 )
 
 // Daemon is the daemon of an entry VM on prepared machines.
@@ -89,6 +91,7 @@
 	control, stopControl := context.WithCancel(loops)
 	dmn.dep.StoreCache.run(loops, &wgr)
 	wgr.Go(func() { dmn.trim(loops) })
+	wgr.Go(func() { dmn.watchCopies(loops) })
 	wgr.Go(func() { dmn.dep.Gossip.run(loops) })
 	wgr.Go(func() { dmn.dep.Crashes.run(loops) })
 	var controllerDone sync.WaitGroup
@@ -153,6 +156,14 @@
 	}
 }
 
+// watchCopies periodically logs changes of readiness and of the currency of the daemon's copies, until ctx ends.
+func (dmn *Daemon) watchCopies(ctx context.Context) {
+	for ctx.Err() == nil {
+		dmn.dep.StoreCache.logCopies()
+		sleep(ctx, dmn.dep.Clock, copyCheckInterval)
+	}
+}
+
 // listen opens the daemon's listeners.
 func (dmn *Daemon) listen() ([]*listening.Server, error) {
 	set := dmn.dep.Settings.Listen
--- a/internal/site/storecache.go
+++ b/internal/site/storecache.go
@@ -60,6 +60,9 @@
 	eraCheckInterval = 250 * time.Millisecond
 )
 
+// activeKinds are the kinds whose copies decide how requests are served.
+var activeKinds = []string{platform.KindServer, platform.KindConfig, platform.KindEvacuation}
+
 // storeCache keeps the daemon's copies of the store's objects current.
 type storeCache struct {
 	set *settings.Settings
@@ -92,6 +95,9 @@
 	addresses map[string]bool
 	// evacuated holds the zones that are out of service, with the versions of their evacuation objects.
 	evacuated map[string]uint64
+	// outdated holds the kinds whose copies were out of date at the last check; wasReady is what that check found.
+	outdated map[string]bool
+	wasReady bool
 }
 
 func newStoreCache(
@@ -122,6 +128,7 @@
 		unreadable: map[string]uint64{},
 		addresses:  map[string]bool{},
 		evacuated:  map[string]uint64{},
+		outdated:   map[string]bool{},
 	}
 	stc.hubRank.Store(-1)
 	otherDelay := func() time.Duration { return otherBatchDelay }
@@ -385,21 +392,29 @@
 	return isNew
 }
 
-// logServers logs each backend server that was registered or removed, or whose group, process or state changed.
+// logServers logs each backend server that was registered or removed, or whose group, process or state changed: at level
+// Info by the lease holder, and by all daemons of a site without hubs.
 func (stc *storeCache) logServers(before *serverregistry.View, chgs []serverregistry.Change) {
+	level := zap.DebugLevel
+	if stc.les.Held() || !stc.hasHubs() {
+		level = zap.InfoLevel
+	}
+	if !stc.log.Core().Enabled(level) {
+		return
+	}
 	for idx := range chgs {
 		srv := &chgs[idx].Server
 		old, known := before.Server(srv.ID)
 		if chgs[idx].Removed {
 			if known {
-				stc.log.Info("a backend server was removed from the registry", zap.String("server", srv.ID), zap.String("service", old.Service), zap.Uint64("entryVersion", srv.Version))
+				stc.log.Log(level, "a backend server was removed from the registry", zap.String("server", srv.ID), zap.String("service", old.Service), zap.Uint64("entryVersion", srv.Version))
 			}
 			continue
 		}
 		if known && old.Membership == srv.Membership && old.Draining == srv.Draining && old.StartTime == srv.StartTime && slices.Equal(old.StagedModels, srv.StagedModels) {
 			continue
 		}
-		stc.log.Info("a backend server changed",
+		stc.log.Log(level, "a backend server changed",
 			zap.String("server", srv.ID),
 			zap.String("service", srv.Service),
 			zap.String("zone", srv.Zone),
@@ -563,7 +578,7 @@
 // since the start of this process: a stale first list may hold a key that was revoked or a backend server that has
 // left.
 func (stc *storeCache) activeTable() *route.Table {
-	for _, kind := range []string{platform.KindServer, platform.KindConfig, platform.KindEvacuation} {
+	for _, kind := range activeKinds {
 		if stc.followers[kind].ConfirmedAt().IsZero() {
 			return nil
 		}
@@ -582,6 +597,33 @@
 	stc.stopping.Store(true)
 }
 
+// logCopies logs when this daemon becomes ready and when a copy becomes out of date or is current again, with the ages of
+// the copies.
+func (stc *storeCache) logCopies() {
+	isReady := stc.ready()
+	stc.mu.Lock()
+	defer stc.mu.Unlock()
+	if isReady != stc.wasReady {
+		stc.wasReady = isReady
+		fields := []zap.Field{zap.Bool("ready", isReady)}
+		for _, kind := range activeKinds {
+			fields = append(fields, zap.Duration(kind+"Age", stc.followers[kind].Age()))
+		}
+		stc.log.Info("readiness of this daemon changed", fields...)
+	}
+	for _, kind := range activeKinds {
+		fol := stc.followers[kind]
+		age := fol.Age()
+		isOutdated := age >= stc.set.Site.KnowWithin
+		if isOutdated == stc.outdated[kind] || fol.ConfirmedAt().IsZero() {
+			continue
+		}
+		stc.outdated[kind] = isOutdated
+		stc.log.Warn("a copy of the store's objects became out of date or is current again", zap.String("kind", kind),
+			zap.Bool("outdated", isOutdated), zap.Duration("age", age), zap.Uint64("revision", fol.Revision()))
+	}
+}
+
 // isRegisteredAddress reports whether adr is the address of a registered backend server.
 func (stc *storeCache) isRegisteredAddress(adr string) bool {
 	stc.mu.Lock()
