--- a/internal/site/gossip.go
+++ b/internal/site/gossip.go
@@ -50,7 +50,7 @@
 	keyRetryInterval = 400 * time.Millisecond
 	// totalsInterval is the time between two log lines with the totals of the messages that were sent.
 	totalsInterval = 5 * time.Second
-	keyCreateDelay   = 4 * time.Second
+	keyCreateDelay = 4 * time.Second
 )
 
 // gossipMessage is what a daemon periodically sends to other daemons: its load, and recent facts that all daemons need.
@@ -98,6 +98,9 @@
 	clk clockwork.Clock
 	log *zap.Logger
 
+	// transmit sends the body of a frame to the daemon at an address.
+	transmit func(ctx context.Context, address, kind string, body any) error
+
 	instance uint64
 	// isFeeder and isHub are the last known roles of this daemon, kept to log changes; only the goroutine of run uses
 	// them.
@@ -169,6 +172,7 @@
 		les:      les,
 		clk:      clk,
 		log:      log.Named("peers"),
+		transmit: msh.Send,
 		instance: instance,
 		backoffs: map[string]peerBackoff{},
 		sending:  map[string]bool{},
@@ -477,9 +481,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 		defer cancel()
-		err := gsp.msh.Send(ctx, dmn.Address, frameKindGossip, msg)
+		err := gsp.transmit(ctx, dmn.Address, frameKindGossip, msg)
 		if err == nil && !crashes.empty() {
-			err = gsp.msh.Send(ctx, dmn.Address, frameKindCrashes, crashes)
+			err = gsp.transmit(ctx, dmn.Address, frameKindCrashes, crashes)
 		}
 		gsp.mu.Lock()
 		defer gsp.mu.Unlock()
