Send news of crashes once over each link

Cause: each crash that was news made every daemon send its whole message to all recipients, up to 50 times a second, with every fact of the last two seconds; members sent back to the hubs what these had told them. While most sends fail, all daemons together sent 250 MB/s instead of 11, and everything else waited in the queues of the hubs' links.

Facts are now numbered, and each peer is sent each fact once over one link; a new link starts with all facts of the last two seconds. Urgent rounds carry only news of crashes, five of them between two whole rounds at most (20 ms apart on a small site, as before). Only daemons to which members send forward what they are told. Evidence on whole requests is taken from the urgent news too, so that it is not later than before. No frame changed.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -23,6 +23,8 @@
 	mesh   *Mesh
 	conn   *websocket.Conn
 	remote Identity
+	// number distinguishes the links that this daemon opened.
+	number uint64
 	// ready is closed after the handshake, done when the link is closed.
 	ready chan struct{}
 	done  chan struct{}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -63,7 +63,9 @@
 	// outgoing holds the links that this daemon opened, by address; links holds all authenticated links.
 	outgoing map[string]*link
 	links    map[*link]struct{}
-	closed   bool
+	// opened is the number of links that this daemon has opened.
+	opened uint64
+	closed bool
 }
 
 // New returns a mesh for the daemon self. All daemons of an environment use the same key. The counters of
@@ -173,6 +175,17 @@
 	return errors.Trace(err)
 }
 
+// LinkNumber returns the number of the link that this daemon has opened to the daemon at adr, 0 if there is none. While the
+// number stays the same, the frames that Send sent are delivered in their order or still in flight.
+func (msh *Mesh) LinkNumber(adr string) uint64 {
+	msh.mu.Lock()
+	defer msh.mu.Unlock()
+	if lnk, ok := msh.outgoing[adr]; ok {
+		return lnk.number
+	}
+	return 0
+}
+
 // BytesSent returns the total size of the bodies that Send has sent in frames of a kind.
 func (msh *Mesh) BytesSent(kind string) int64 {
 	return msh.bytesSentOf(kind).Count()
@@ -192,6 +205,8 @@
 			return nil, errors.Annotate(ErrUnreachable, "mesh is closed")
 		}
 		lnk = newLink(msh)
+		msh.opened++
+		lnk.number = msh.opened
 		msh.outgoing[adr] = lnk
 		go msh.connect(adr, lnk)
 	}
--- a/internal/site/crashexchange.go
+++ b/internal/site/crashexchange.go
@@ -71,11 +71,20 @@
 	urgent    chan struct{}
 	crashes   *broadcastBuffer[promptcrash.Crash]
 	survivals *broadcastBuffer[promptcrash.Survival]
+	// requests holds the same crashes as evidence on whole requests, also on those without shared parts.
+	requests *broadcastBuffer[quarantine.Crash]
 
-	mu            sync.Mutex
+	mu sync.Mutex
+	// blockedSentAt is when the other daemons were last told what is blocked, zero if that has changed since.
 	blockedSentAt time.Time
 }
 
+// crashProgress holds the numbers of the latest facts that a peer has been sent.
+type crashProgress struct {
+	crashes   uint64
+	survivals uint64
+}
+
 func newCrashExchange(
 	stc *storeCache,
 	pst objects.Store,
@@ -97,11 +106,13 @@
 		urgent:    make(chan struct{}, 1),
 		crashes:   newBroadcastBuffer[promptcrash.Crash](clk),
 		survivals: newBroadcastBuffer[promptcrash.Survival](clk),
+		requests:  newBroadcastBuffer[quarantine.Crash](clk),
 	}
 	trk.DaemonCount = stc.daemonCount
 	trk.ReportBlocked = func(cmb promptcrash.Combination) {
 		cex.log.Warn("prompt parts crash backend servers; requests with them are rejected",
 			zap.String("model", cmb.Model), zap.Strings("promptParts", cmb.Parts))
+		cex.sendBlockedSoon()
 	}
 	msh.Handle(frameKindCrashes, func(_ context.Context, from peer.Identity, body []byte) (any, error) {
 		var msg crashMessage
@@ -124,6 +135,15 @@
 
 // recordCrash adds a crash that this daemon observed.
 func (cex *crashExchange) recordCrash(crs relay.Crash, now time.Time) {
+	whole := quarantine.Crash{
+		Fingerprint: crs.Request.Fingerprint,
+		Event:       crs.Event,
+	}
+	if cex.qua.RecordCrash(whole, now) {
+		told := cex.requests.add(whole, 0)
+		cex.log.Info("a request broke the connection to a backend server", zap.String("fingerprint", string(whole.Fingerprint)),
+			zap.String("event", whole.Event), zap.Bool("told", told))
+	}
 	observed := promptcrash.Crash{
 		Model:   crs.Request.Model,
 		Parts:   crs.Request.SharedParts,
@@ -148,6 +168,14 @@
 	}
 }
 
+// sendBlockedSoon makes the next message to the other daemons leave at once, with what is blocked.
+func (cex *crashExchange) sendBlockedSoon() {
+	cex.mu.Lock()
+	cex.blockedSentAt = time.Time{}
+	cex.mu.Unlock()
+	cex.sendSoon()
+}
+
 // recordSurvival adds the survival of a request that this daemon observed.
 func (cex *crashExchange) recordSurvival(idn relay.Identity, now time.Time) {
 	observed := promptcrash.Survival{
@@ -159,23 +187,29 @@
 	}
 }
 
-// receive processes the message of another daemon. On a large site, daemons pass on what is new to them.
+// receive processes the message of another daemon. A daemon that forwards passes on what is new to it.
 func (cex *crashExchange) receive(from peer.Identity, msg crashMessage) {
 	now := cex.clk.Now()
+	forwards := cex.stc.forwards.Load()
 	for _, crs := range msg.Crashes {
+		cex.receiveWhole(quarantine.Crash{
+			Fingerprint: quarantine.Fingerprint(crs.Request),
+			Event:       crs.Event,
+			Age:         crs.Age,
+		})
 		if !cex.trk.RecordCrash(crs, now) {
 			continue
 		}
 		for _, srv := range cex.trk.OwnSurvivals(crs, now) {
 			cex.survivals.add(srv, srv.Age)
 		}
-		if cex.stc.hasHubs() {
+		if forwards {
 			cex.crashes.add(crs, crs.Age)
 			cex.sendSoon()
 		}
 	}
 	for _, srv := range msg.Survivals {
-		if cex.trk.ReceiveSurvival(srv, now) && cex.stc.hasHubs() {
+		if cex.trk.ReceiveSurvival(srv, now) && forwards {
 			cex.survivals.add(srv, srv.Age)
 		}
 	}
@@ -183,30 +217,53 @@
 		if cex.trk.RecordBlocked(cmb, now) {
 			cex.log.Warn("another daemon reports prompt parts that crash backend servers", zap.String("peer", from.Name),
 				zap.String("model", cmb.Model), zap.Strings("promptParts", cmb.Parts), zap.Duration("age", cmb.Age))
+			if forwards {
+				cex.sendBlockedSoon()
+			}
 		}
 	}
 }
 
-// message returns the next message to the other daemons.
-func (cex *crashExchange) message() crashMessage {
-	var msg crashMessage
-	cex.crashes.forEach(func(crs promptcrash.Crash, age time.Duration) {
+// receiveWhole adds a crash that another daemon observed to the evidence on whole requests.
+func (cex *crashExchange) receiveWhole(crs quarantine.Crash) {
+	if crs.Fingerprint != "" && cex.qua.RecordCrash(crs, cex.clk.Now()) && cex.stc.forwards.Load() {
+		cex.requests.add(crs, crs.Age)
+	}
+}
+
+// message returns the next message to a daemon that has been sent the facts up to sent, and the progress after it. The
+// message also holds what is blocked.
+func (cex *crashExchange) message(sent crashProgress, blocked []promptcrash.Combination) (crashMessage, crashProgress) {
+	msg := crashMessage{
+		Blocked: blocked,
+	}
+	var next crashProgress
+	next.crashes = cex.crashes.forEachAfter(sent.crashes, func(crs promptcrash.Crash, age time.Duration) {
 		crs.SentAge += age - crs.Age
 		crs.Age = age
 		msg.Crashes = append(msg.Crashes, crs)
 	})
-	cex.survivals.forEach(func(srv promptcrash.Survival, age time.Duration) {
+	next.survivals = cex.survivals.forEachAfter(sent.survivals, func(srv promptcrash.Survival, age time.Duration) {
 		srv.Age = age
 		msg.Survivals = append(msg.Survivals, srv)
 	})
+	return msg, next
+}
+
+// takeBlocked returns what is blocked if the other daemons are to be told: when it has changed, and again after
+// blockedInterval.
+func (cex *crashExchange) takeBlocked() []promptcrash.Combination {
 	now := cex.clk.Now()
 	cex.mu.Lock()
-	defer cex.mu.Unlock()
-	if !msg.empty() || now.Sub(cex.blockedSentAt) >= blockedInterval {
+	isDue := now.Sub(cex.blockedSentAt) >= blockedInterval
+	if isDue {
 		cex.blockedSentAt = now
-		msg.Blocked = cex.trk.Blocked(now)
 	}
-	return msg
+	cex.mu.Unlock()
+	if !isDue {
+		return nil
+	}
+	return cex.trk.Blocked(now)
 }
 
 // run loads what is blocked from the store, and stores it whenever it changes while this daemon holds the lease, until ctx
--- a/internal/site/gossip.go
+++ b/internal/site/gossip.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"encoding/json"
 	mrand "math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/peer"
 	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/promptcrash"
 	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/rejections"
 	"github.com/cumintally/cumintally/internal/serverregistry"
@@ -38,9 +40,9 @@
 	keySize = 32
 	// sendTimeout bounds the sending of a frame to a peer that does not read.
 	sendTimeout = 300 * time.Millisecond
-	// minRoundInterval is the time between two rounds of messages even if news are urgent: requests at the same crash are
-	// reported together.
-	minRoundInterval = 20 * time.Millisecond
+	// urgentRoundsPerInterval bounds the rounds with news of crashes between two rounds of messages: requests at the same
+	// crash are reported together, and in an outage most sends fail.
+	urgentRoundsPerInterval = 5
 	// minPeerBackoff is the backoff after the first failed send to a peer. It is about the time that a starting daemon
 	// needs until it listens. Each further failure doubles the backoff, up to maxPeerBackoff.
 	minPeerBackoff = 100 * time.Millisecond
@@ -89,7 +91,6 @@
 	viw *loadview.View
 	plm *placement.Placement
 	mtr *demand.Meter
-	qua *quarantine.Quarantine
 	cex *crashExchange
 	rej *rejections.Tracker
 	sel *hub.Selector
@@ -98,8 +99,10 @@
 	clk clockwork.Clock
 	log *zap.Logger
 
-	// transmit sends the body of a frame to the daemon at an address.
-	transmit func(ctx context.Context, address, kind string, body any) error
+	// transmit sends the body of a frame to the daemon at an address. linkNumber returns the number of the link to it, 0 if
+	// there is none.
+	transmit   func(ctx context.Context, address, kind string, body any) error
+	linkNumber func(address string) uint64
 
 	instance uint64
 	// isFeeder and isHub are the last known roles of this daemon, kept to log changes; only the goroutine of run uses
@@ -113,8 +116,9 @@
 	// backoffs holds the peers that cannot be reached, and sending those to which a frame is in flight.
 	backoffs map[string]peerBackoff
 	sending  map[string]bool
+	// progress holds which facts each peer has been sent.
+	progress map[string]peerProgress
 
-	crashes  *broadcastBuffer[quarantine.Crash]
 	stopping *broadcastBuffer[serverregistry.Process]
 
 	// rounds counts the rounds of messages, and urgentRounds those that news of a crash caused.
@@ -122,6 +126,15 @@
 	urgentRounds metrics.Counter
 }
 
+// peerProgress holds the numbers of the latest facts that a peer has been sent over one link. What was in flight on a link
+// that broke may be lost, so that a new link starts with all facts.
+type peerProgress struct {
+	link     uint64
+	stopping uint64
+	requests uint64
+	crashes  crashProgress
+}
+
 // peerBackoff is the backoff of a peer that cannot be reached.
 type peerBackoff struct {
 	until time.Time
@@ -147,7 +160,6 @@
 	viw *loadview.View,
 	plm *placement.Placement,
 	mtr *demand.Meter,
-	qua *quarantine.Quarantine,
 	cex *crashExchange,
 	rej *rejections.Tracker,
 	les *lease.Lease,
@@ -157,26 +169,28 @@
 ) *gossip {
 	instance := mrand.Uint64()
 	gsp := &gossip{
-		set:      set,
-		stc:      stc,
-		pst:      pst,
-		msh:      msh,
-		viw:      viw,
-		plm:      plm,
-		mtr:      mtr,
-		qua:      qua,
-		cex:      cex,
-		rej:      rej,
-		sel:      hub.New(set.Entry.Name, set.Entry.AvailabilityZone, clk),
-		fdr:      storefeed.New(set.Entry.Name, instance, clk),
-		les:      les,
-		clk:      clk,
-		log:      log.Named("peers"),
-		transmit: msh.Send,
+		set: set,
+		stc: stc,
+		pst: pst,
+		msh: msh,
+		viw: viw,
+		plm: plm,
+		mtr: mtr,
+		cex: cex,
+		rej: rej,
+		sel: hub.New(set.Entry.Name, set.Entry.AvailabilityZone, clk),
+		fdr: storefeed.New(set.Entry.Name, instance, clk),
+		les: les,
+		clk: clk,
+		log: log.Named("peers"),
+
+		transmit:   msh.Send,
+		linkNumber: msh.LinkNumber,
+
 		instance: instance,
 		backoffs: map[string]peerBackoff{},
 		sending:  map[string]bool{},
-		crashes:  newBroadcastBuffer[quarantine.Crash](clk),
+		progress: map[string]peerProgress{},
 		stopping: newBroadcastBuffer[serverregistry.Process](clk),
 
 		rounds:       metrics.GetOrRegisterCounter("PeerRounds", met),
@@ -201,12 +215,10 @@
 		gsp.les.RecordAnnouncement(msg.LeaseVersion, now.Add(-msg.SinceRenewal))
 	}
 	for _, crs := range msg.Crashes {
-		if gsp.qua.RecordCrash(crs, now) && gsp.stc.hasHubs() {
-			gsp.crashes.add(crs, crs.Age)
-		}
+		gsp.cex.receiveWhole(crs)
 	}
 	for _, prc := range msg.Stopping {
-		if gsp.stc.markStopping(prc, from.Name) && gsp.stc.hasHubs() {
+		if gsp.stc.markStopping(prc, from.Name) && gsp.stc.forwards.Load() {
 			gsp.stopping.add(prc, 0)
 		}
 	}
@@ -252,8 +264,7 @@
 	defer keeper.Wait()
 	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
 		gsp.rounds.Inc(1)
-		gsp.sendRound(ctx, sequence)
-		gsp.waitForRound(ctx)
+		gsp.waitForRound(ctx, gsp.sendRound(ctx, sequence))
 	}
 }
 
@@ -266,23 +277,34 @@
 	}
 }
 
-// waitForRound waits for the interval between two rounds, or for minRoundInterval if a crash is to be sent.
-func (gsp *gossip) waitForRound(ctx context.Context) {
-	sleep(ctx, gsp.clk, minRoundInterval)
-	select {
-	case <-ctx.Done():
-	case <-gsp.cex.urgent:
-		gsp.urgentRounds.Inc(1)
-	case <-gsp.clk.After(loadview.Interval(gsp.stc.daemonCount()) - minRoundInterval):
+// waitForRound waits for the interval between two rounds. It sends news of crashes to the recipients of the last round
+// meanwhile.
+func (gsp *gossip) waitForRound(ctx context.Context, recipients []hub.Recipient) {
+	interval := loadview.Interval(gsp.stc.daemonCount())
+	end := gsp.clk.After(interval)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-end:
+			return
+		case <-gsp.cex.urgent:
+			gsp.urgentRounds.Inc(1)
+			blocked := gsp.cex.takeBlocked()
+			for _, rcp := range recipients {
+				gsp.send(ctx, rcp.Daemon, nil, blocked)
+			}
+			sleep(ctx, gsp.clk, interval/urgentRoundsPerInterval)
+		}
 	}
 }
 
-// sendRound sends one message to each daemon that the current plan lists.
-func (gsp *gossip) sendRound(ctx context.Context, sequence uint64) {
+// sendRound sends one message to each daemon that the current plan lists, and returns these.
+func (gsp *gossip) sendRound(ctx context.Context, sequence uint64) []hub.Recipient {
 	pln := gsp.sel.Plan(gsp.stc.registeredDaemons())
 	gsp.updateRank(pln)
 	msg := gsp.buildMessage(sequence)
-	crashes := gsp.cex.message()
+	blocked := gsp.cex.takeBlocked()
 	direct := gsp.stc.readsStore()
 	isFeeder := gsp.updateFeeder(pln, msg)
 	var zone, site *loadview.Sum
@@ -308,13 +330,16 @@
 		if direct || (isFeeder && rcp.Relation == hub.Member) {
 			own.Update = gsp.fdr.UpdateFor(rcp.Name, gsp.stc.fedFollowers())
 		}
-		gsp.send(ctx, rcp.Daemon, own, crashes)
+		gsp.send(ctx, rcp.Daemon, &own, blocked)
 	}
+	return pln.Recipients
 }
 
-// updateRank stores the rank of this daemon and logs when it becomes a hub or ceases to be one.
+// updateRank stores the rank of this daemon and whether it forwards, and logs when it becomes a hub or ceases to be one.
 func (gsp *gossip) updateRank(pln hub.Plan) {
 	gsp.stc.hubRank.Store(int64(pln.Rank))
+	hasMembers := slices.ContainsFunc(pln.Recipients, func(rcp hub.Recipient) bool { return rcp.Relation == hub.Member })
+	gsp.stc.forwards.Store(gsp.stc.hasHubs() && (pln.IsHub || hasMembers))
 	if pln.IsHub != gsp.isHub {
 		gsp.isHub = pln.IsHub
 		gsp.log.Info("hub role of this daemon changed", zap.Bool("hub", pln.IsHub), zap.Int("rank", pln.Rank), zap.Strings("hubs", pln.Hubs))
@@ -333,11 +358,6 @@
 	}
 	msg.Rejections = gsp.rej.TakeUnsent()
 	gsp.viw.RecordOwn(msg.Load)
-	gsp.crashes.forEach(func(crs quarantine.Crash, age time.Duration) {
-		crs.Age = age
-		msg.Crashes = append(msg.Crashes, crs)
-	})
-	gsp.stopping.forEach(func(prc serverregistry.Process, _ time.Duration) { msg.Stopping = append(msg.Stopping, prc) })
 	if ver, renewed, ok := gsp.les.LastRenewal(); ok {
 		msg.LeaseVersion = ver
 		msg.SinceRenewal = gsp.clk.Since(renewed)
@@ -361,13 +381,6 @@
 	return isFeeder
 }
 
-// broadcastCrash includes a crash in the next messages to the other daemons.
-func (gsp *gossip) broadcastCrash(crs quarantine.Crash) {
-	queued := gsp.crashes.add(crs, 0)
-	gsp.log.Info("a request broke the connection to a backend server", zap.String("fingerprint", string(crs.Fingerprint)),
-		zap.String("event", crs.Event), zap.Bool("told", queued))
-}
-
 // broadcastStopping includes a backend server process that announced its stop in the next messages to the other daemons.
 func (gsp *gossip) broadcastStopping(prc serverregistry.Process) {
 	if gsp.stc.markStopping(prc, prc.ID) && !gsp.stopping.add(prc, 0) {
@@ -469,28 +482,46 @@
 	return obj, errors.Trace(err)
 }
 
-// send starts sending messages to one peer, unless the previous one is still in flight or the peer is in backoff.
-func (gsp *gossip) send(ctx context.Context, dmn hub.Daemon, msg gossipMessage, crashes crashMessage) {
+// send starts sending to one peer a message, unless it is nil, and the facts that the peer has not been sent. It does nothing
+// while the previous frames are being sent or the peer is in backoff.
+func (gsp *gossip) send(ctx context.Context, dmn hub.Daemon, msg *gossipMessage, blocked []promptcrash.Combination) {
 	now := gsp.clk.Now()
 	gsp.mu.Lock()
 	defer gsp.mu.Unlock()
 	if gsp.sending[dmn.Name] || now.Before(gsp.backoffs[dmn.Name].until) {
 		return
 	}
+	prg := gsp.progress[dmn.Name]
+	if link := gsp.linkNumber(dmn.Address); link != prg.link {
+		prg = peerProgress{
+			link: link,
+		}
+	}
+	if msg != nil {
+		gsp.addFacts(msg, &prg)
+	}
+	var crashes crashMessage
+	crashes, prg.crashes = gsp.cex.message(prg.crashes, blocked)
+	if msg == nil && crashes.empty() {
+		return
+	}
 	gsp.sending[dmn.Name] = true
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 		defer cancel()
-		err := gsp.transmit(ctx, dmn.Address, frameKindGossip, msg)
-		if err == nil && !crashes.empty() {
-			err = gsp.transmit(ctx, dmn.Address, frameKindCrashes, crashes)
-		}
+		err := gsp.transmitAll(ctx, dmn.Address, msg, crashes)
 		gsp.mu.Lock()
 		defer gsp.mu.Unlock()
 		gsp.sending[dmn.Name] = false
 		last, failing := gsp.backoffs[dmn.Name]
 		if err == nil {
-			gsp.fdr.RecordSent(dmn.Name, msg.Update)
+			if prg.link == 0 {
+				prg.link = gsp.linkNumber(dmn.Address)
+			}
+			gsp.progress[dmn.Name] = prg
+			if msg != nil {
+				gsp.fdr.RecordSent(dmn.Name, msg.Update)
+			}
 			if failing {
 				delete(gsp.backoffs, dmn.Name)
 				gsp.log.Info("a peer can be reached again", zap.String("peer", dmn.Name))
@@ -507,3 +538,27 @@
 		}
 	}()
 }
+
+// transmitAll sends a message, unless it is nil, and a message about crashes, unless it is empty.
+func (gsp *gossip) transmitAll(ctx context.Context, adr string, msg *gossipMessage, crashes crashMessage) error {
+	if msg != nil {
+		if err := gsp.transmit(ctx, adr, frameKindGossip, *msg); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if crashes.empty() {
+		return nil
+	}
+	return errors.Trace(gsp.transmit(ctx, adr, frameKindCrashes, crashes))
+}
+
+// addFacts adds to a message the facts that its recipient has not been sent, and advances its progress.
+func (gsp *gossip) addFacts(msg *gossipMessage, prg *peerProgress) {
+	prg.requests = gsp.cex.requests.forEachAfter(prg.requests, func(crs quarantine.Crash, age time.Duration) {
+		crs.Age = age
+		msg.Crashes = append(msg.Crashes, crs)
+	})
+	prg.stopping = gsp.stopping.forEachAfter(prg.stopping, func(prc serverregistry.Process, _ time.Duration) {
+		msg.Stopping = append(msg.Stopping, prc)
+	})
+}
--- a/internal/site/gossip_test.go
+++ b/internal/site/gossip_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,6 +110,7 @@
 		total: map[string]int{},
 	}
 	dmn.dep.Gossip.transmit = snt.transmit
+	dmn.dep.Gossip.linkNumber = func(string) uint64 { return 1 }
 	return dmn, snt
 }
 
@@ -250,3 +252,45 @@
 		})
 	}
 }
+
+// Guards against news that a peer misses since the connection broke on which it was in flight, and against news that is sent more
+// than once over one connection.
+func TestNewsIsSentOnceOverEachLink(tst *testing.T) {
+	dmn, _ := newTestDaemon(tst, daemonName(0, 30), zoneName(0))
+	gsp := dmn.dep.Gossip
+	var link atomic.Uint64
+	link.Store(1)
+	gsp.linkNumber = func(string) uint64 { return link.Load() }
+	var mu sync.Mutex
+	sent := map[string][]string{}
+	gsp.transmit = func(_ context.Context, adr, kind string, body any) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if msg, ok := body.(crashMessage); ok && kind == frameKindCrashes {
+			for _, crs := range msg.Crashes {
+				sent[adr] = append(sent[adr], crs.Event)
+			}
+		}
+		return nil
+	}
+	ctx, cancel := context.WithCancel(tst.Context())
+	var wgr sync.WaitGroup
+	wgr.Go(func() { gsp.run(ctx) })
+	defer wgr.Wait()
+	defer cancel()
+	received := func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return sent[daemonName(0, 0)]
+	}
+	reportCrash(dmn, 1, true)
+	eventually(tst, func() bool { return len(received()) > 0 })
+	reportCrash(dmn, 2, true)
+	eventually(tst, func() bool { return len(received()) > 1 })
+	time.Sleep(2 * loadview.Interval(testZones*testDaemonsPerZone))
+	first, second := crashAt(1).Event, crashAt(2).Event
+	qt.Assert(tst, received(), qt.DeepEquals, []string{first, second})
+	link.Store(2)
+	eventually(tst, func() bool { return len(received()) > 2 })
+	qt.Assert(tst, received(), qt.DeepEquals, []string{first, second, first, second})
+}
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -176,7 +176,6 @@
 	plm *placement.Placement,
 	sel *serverpath.Selector,
 	acc *retryAccount,
-	qua *quarantine.Quarantine,
 	cex *crashExchange,
 	rej *rejections.Tracker,
 	gsp *gossip,
@@ -202,17 +201,8 @@
 				mtr.Record(req.Service.Name, mod.Name, work, now)
 			}
 		},
-		BlockedFor: cex.blockedFor,
-		ReportCrash: func(crs relay.Crash, now time.Time) {
-			cex.recordCrash(crs, now)
-			whole := quarantine.Crash{
-				Fingerprint: crs.Request.Fingerprint,
-				Event:       crs.Event,
-			}
-			if qua.RecordCrash(whole, now) {
-				gsp.broadcastCrash(whole)
-			}
-		},
+		BlockedFor:     cex.blockedFor,
+		ReportCrash:    cex.recordCrash,
 		ReportSurvival: cex.recordSurvival,
 		ReportRejection: func(fpr quarantine.Fingerprint, arrived time.Time) {
 			rej.RecordRejection(rejections.MarkOf(string(fpr)), arrived, clk.Now())
--- a/internal/site/storecache.go
+++ b/internal/site/storecache.go
@@ -86,6 +86,9 @@
 	// hubRank is the position of this daemon, from 0, among the hubs of the site, or on a small site among the daemons
 	// that are not lost; -1 if it has none.
 	hubRank atomic.Int64
+	// forwards is set if this daemon passes on what other daemons tell it: on a site with hubs, it is one, or a daemon of its
+	// availability zone takes it for one.
+	forwards atomic.Bool
 
 	mu      sync.Mutex
 	daemons map[string]daemonRecord
