Refuse nothing for good by a configuration that may be out of date

Callers do not retry 404, 401, 413 and 431.

Such refusals now hold only while the copy of the configuration is current. Otherwise the request is refused as not run, with 503 and Retry-After, as while no configuration is known. What the old configuration allows is still served, so that zones that are cut off go on.

TestOutdatedConfigurationRefusesNothingForGood: 404, 401, 431 and 413 before, 503 now; unchanged while the copy is current.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -147,7 +147,7 @@
 	path, _, _ := strings.Cut(run.target, "?")
 	rte, ok := tbl.Find(run.request.Host, path)
 	if !ok {
-		return refusal.New(refusal.NotRun, http.StatusNotFound, "No route", "no route for "+run.request.Host+path, 0)
+		return run.refuse(http.StatusNotFound, "No route", "no route for "+run.request.Host+path)
 	}
 	run.route = rte
 	run.priority = rte.Priority
@@ -170,6 +170,15 @@
 	return nil
 }
 
+// refuse returns the refusal of a request that the configuration does not allow. Callers do not retry such a request, so that it
+// is refused only for now if the configuration may lack changes that must be in force.
+func (run *run) refuse(status int, title, detail string) *refusal.Refusal {
+	if !run.relay.deps.IsConfigurationCurrent() {
+		return refusal.Unavailable(detail+" by a configuration that may be out of date", run.retryAfter())
+	}
+	return refusal.New(refusal.NotRun, status, title, detail, 0)
+}
+
 func (run *run) checkSize(lmt route.Limits) *refusal.Refusal {
 	if lmt.MaxHeaderSize <= 0 {
 		return nil
@@ -181,7 +190,7 @@
 		}
 	}
 	if size > lmt.MaxHeaderSize {
-		return refusal.New(refusal.NotRun, http.StatusRequestHeaderFieldsTooLarge, "Headers too large", "the headers exceed the configured size", 0)
+		return run.refuse(http.StatusRequestHeaderFieldsTooLarge, "Headers too large", "the headers exceed the configured size")
 	}
 	return nil
 }
@@ -196,7 +205,7 @@
 		return nil
 	}
 	if run.table.RequiresKey(run.route) {
-		return refusal.New(refusal.NotRun, http.StatusUnauthorized, "Unknown key", "no workspace holds the key", 0)
+		return run.refuse(http.StatusUnauthorized, "Unknown key", "no workspace holds the key")
 	}
 	return nil
 }
@@ -206,7 +215,6 @@
 	if limit <= 0 {
 		limit = defaultMaxBodySize
 	}
-	tooLarge := refusal.New(refusal.NotRun, http.StatusRequestEntityTooLarge, "Body too large", "the body exceeds the configured size", 0)
 	body, err := io.ReadAll(io.LimitReader(run.request.Body, int64(limit)+1))
 	switch {
 	case err != nil:
@@ -214,7 +222,7 @@
 	case len(body) > limit:
 		// Closing a connection with unread bytes resets it, and the reset can destroy the response in transit.
 		_, _ = io.CopyN(io.Discard, run.request.Body, maxDrainSize)
-		return tooLarge
+		return run.refuse(http.StatusRequestEntityTooLarge, "Body too large", "the body exceeds the configured size")
 	}
 	run.body = body
 	return nil
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -102,7 +102,9 @@
 	// Table returns the current configuration, nil while none has been loaded.
 	Table func() *route.Table
 	// ConfigurationAge returns the time since the store last confirmed that configuration to be the newest.
-	ConfigurationAge func() time.Duration
+	// IsConfigurationCurrent reports whether it holds all changes that must be in force.
+	ConfigurationAge       func() time.Duration
+	IsConfigurationCurrent func() bool
 	// Choose picks a backend server; it fails with placement.ErrNoServer, or with placement.ErrBusy and a pick that holds
 	// the best forecast.
 	Choose func(request placement.Request, now time.Time) (placement.Pick, error)
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -49,6 +49,11 @@
 	kind     route.Kind
 	timeout  time.Duration
 	attempts int
+	// isOutdated says that the configuration may lack changes that must be in force.
+	isOutdated bool
+	// limits are those of the configuration, and secret says that the route needs a key.
+	limits route.Limits
+	secret bool
 	// choose replaces the choice by addresses, and format the headers, unless they are nil.
 	choose func(request placement.Request) (placement.Pick, error)
 	format *relay.HeaderFormat
@@ -67,7 +72,7 @@
 				Timeout:     cmp.Or(fix.timeout, 5*time.Second),
 				Objective:   fix.objective,
 				MaxAttempts: cmp.Or(fix.attempts, 2),
-				Public:      true,
+				Public:      !fix.secret,
 				Targets: []route.Target{
 					{
 						Service: "jobs",
@@ -81,6 +86,13 @@
 				Name: "jobs",
 			},
 		},
+		Workspaces: []route.Workspace{
+			{
+				Name: "polishing",
+				Keys: []string{"valid"},
+			},
+		},
+		Limits: fix.limits,
 	})
 	clk := fix.clock
 	if clk == nil {
@@ -89,8 +101,9 @@
 	pol := upstream.New((&net.Dialer{}).DialContext, clk, metrics.NewCounter())
 	fix.tst.Cleanup(func() { pol.Trim(func(string) bool { return false }) })
 	dps := relay.Dependencies{
-		Table:            func() *route.Table { return tbl },
-		ConfigurationAge: func() time.Duration { return 0 },
+		Table:                  func() *route.Table { return tbl },
+		ConfigurationAge:       func() time.Duration { return 0 },
+		IsConfigurationCurrent: func() bool { return !fix.isOutdated },
 		Choose: func(req placement.Request, _ time.Time) (placement.Pick, error) {
 			if fix.choose != nil {
 				return fix.choose(req)
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -187,14 +187,15 @@
 	log *zap.Logger,
 ) *relay.Relay {
 	dps := relay.Dependencies{
-		Table:            stc.activeTable,
-		ConfigurationAge: stc.followers[platform.KindConfig].Age,
-		Choose:           plm.Choose,
-		Connect:          sel.Connect,
-		SuspectPath:      sel.Suspect,
-		RecordRequest:    acc.recordRequest,
-		TakeRetry:        acc.takeRetry,
-		ReturnRetry:      acc.bud.ReturnRetry,
+		Table:                  stc.activeTable,
+		ConfigurationAge:       stc.followers[platform.KindConfig].Age,
+		IsConfigurationCurrent: stc.followers[platform.KindConfig].IsCurrent,
+		Choose:                 plm.Choose,
+		Connect:                sel.Connect,
+		SuspectPath:            sel.Suspect,
+		RecordRequest:          acc.recordRequest,
+		TakeRetry:              acc.takeRetry,
+		ReturnRetry:            acc.bud.ReturnRetry,
 		RecordDemand: func(req placement.Request, now time.Time) {
 			if mod := req.RequestedModel(); mod != nil {
 				work := admission.Work(req.Service.Engine, mod, req.PromptTokens, req.ExpectedTokens)
--- a/internal/storesync/follower.go
+++ b/internal/storesync/follower.go
@@ -40,6 +40,9 @@
 	watchResponseTime = 500 * time.Millisecond
 	// rewriteTime is the time after a restore of the store from a copy within which its writers write again what it lost.
 	rewriteTime = 2500 * time.Millisecond
+	// maxWatchedAge is the age up to which a copy counts as current while this daemon watches the store by itself: the store
+	// confirms a copy that does not change only when it ends a watch.
+	maxWatchedAge = 4 * time.Second
 )
 
 // Config configures a Follower.
@@ -433,6 +436,19 @@
 	return fol.confirmedToSelfAt
 }
 
+// IsCurrent reports whether the copy holds all changes that must be known: the store confirmed it within MaxAge to a daemon
+// that feeds others, or, where daemons do not feed each other, no call to the store has failed since it did.
+func (fol *Follower) IsCurrent() bool {
+	isFed := fol.cfg.FeedsEnabled()
+	fol.mu.Lock()
+	defer fol.mu.Unlock()
+	age := fol.clk.Since(fol.confirmedAt)
+	if isFed {
+		return !fol.confirmedAt.IsZero() && age < fol.cfg.MaxAge
+	}
+	return !fol.confirmedAt.IsZero() && fol.failingSince.IsZero() && age < maxWatchedAge
+}
+
 // CurrentFor reports whether the store has confirmed the copy and no call has failed within the duration span.
 func (fol *Follower) CurrentFor(span time.Duration) bool {
 	fol.mu.Lock()
