Become ready with copies that are current at the same time

A daemon counted as ready once the store had confirmed each of its copies at any time. One that read the configuration at its start and got the backend servers many seconds later, because the store rejected it or was slow, became ready with the configuration of its start.

All copies must have been current at the same time, once, before a daemon serves; from then on it serves its last copies, also while the store is away. A list is as old as its call, since its first page may be read long before its last one.

--- a/internal/site/storecache.go
+++ b/internal/site/storecache.go
@@ -79,6 +79,8 @@
 	followers map[string]*storesync.Follower
 
 	stopping atomic.Bool
+	// isActive is set once all copies have been current at the same time.
+	isActive atomic.Bool
 	// daemonsListed is closed once the daemons have been listed.
 	daemonsListed   chan struct{}
 	closeListedOnce sync.Once
@@ -577,20 +579,23 @@
 	return stc.serverFollower().CurrentFor(span)
 }
 
-// activeTable returns the table of the active configuration. It returns nil until the store has confirmed the copies
-// since the start of this process: a stale first list may hold a key that was revoked or a backend server that has
-// left.
+// activeTable returns the table of the active configuration. It returns nil until all copies have been current at the same time
+// since the start of this process: a stale first list, or one that was read long before the others, may hold a key that was
+// revoked or a backend server that has left. From then on the last copies are served, also while the store is away.
 func (stc *storeCache) activeTable() *route.Table {
-	for _, kind := range activeKinds {
-		if stc.followers[kind].ConfirmedAt().IsZero() {
-			return nil
+	if !stc.isActive.Load() {
+		for _, kind := range activeKinds {
+			if !stc.followers[kind].IsCurrent() {
+				return nil
+			}
 		}
+		stc.isActive.Store(true)
 	}
 	return stc.table.Load()
 }
 
-// ready reports whether the daemon can serve: it is not stopping, and it has confirmed copies of the configuration, the
-// backend servers and the evacuations.
+// ready reports whether the daemon can serve: it is not stopping, and its copies of the configuration, the backend servers and
+// the evacuations have been current at the same time.
 func (stc *storeCache) ready() bool {
 	return !stc.stopping.Load() && stc.activeTable() != nil
 }
--- a/internal/site/storecache_test.go
+++ b/internal/site/storecache_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -100,6 +101,10 @@
 
 // startStoreCache returns the running store cache of a daemon on a site with hubs; extra holds settings of its own.
 func startStoreCache(tst *testing.T, name string, sts *staleStore, extra ...string) *storeCache {
+	return startStoreCacheOn(tst, name, sts.store(), extra...)
+}
+
+func startStoreCacheOn(tst *testing.T, name string, pst objects.Store, extra ...string) *storeCache {
 	set, err := settings.New("", append(extra,
 		"CUMINTALLY_ENTRY_NAME="+name,
 		"CUMINTALLY_ENTRY_AVAILABILITYZONE=a",
@@ -112,8 +117,8 @@
 	qt.Assert(tst, err, qt.IsNil)
 	clk := clockwork.NewRealClock()
 	log := zap.NewNop()
-	les := lease.New(sitecontrol.LeaseName, name, time.Second, sts.store(), clk)
-	stc := newStoreCache(set, sts.store(), inventory.New(log), les, outlier.New(), newServerLimiter(), clk, log)
+	les := lease.New(sitecontrol.LeaseName, name, time.Second, pst, clk)
+	stc := newStoreCache(set, pst, inventory.New(log), les, outlier.New(), newServerLimiter(), clk, log)
 	ctx, cancel := context.WithCancel(context.WithoutCancel(tst.Context()))
 	var wgr sync.WaitGroup
 	stc.run(ctx, &wgr)
@@ -173,6 +178,53 @@
 	qt.Assert(tst, sts.answered[platform.KindConfig], qt.IsFalse, qt.Commentf("the daemon watches although it is to be fed"))
 }
 
+// Guards against a daemon that starts while the store rejects some of its calls, and becomes ready with the configuration that it
+// read many seconds before the list of the backend servers.
+func TestCopiesOfDifferentAgesAreNotActive(tst *testing.T) {
+	var configCalls atomic.Int64
+	var configUp, serversUp atomic.Bool
+	pst := (&staleStore{}).store()
+	list := pst.List
+	pst.List = func(ctx context.Context, kind string) ([]objects.Object, uint64, error) {
+		switch {
+		case kind == platform.KindServer && !serversUp.Load():
+			return nil, 0, objects.ErrUnavailable
+		case kind != platform.KindConfig:
+			return list(ctx, kind)
+		case configCalls.Add(1) == 1:
+			return []objects.Object{configObject(oldRevision, "withdrawn")}, oldRevision, nil
+		case !configUp.Load():
+			return nil, 0, objects.ErrUnavailable
+		}
+		return list(ctx, kind)
+	}
+	pst.Watch = func(ctx context.Context, kind string, since uint64) ([]objects.Object, uint64, error) {
+		sleep(ctx, clockwork.NewRealClock(), 100*time.Millisecond)
+		if kind == platform.KindConfig && !configUp.Load() {
+			return nil, 0, objects.ErrUnavailable
+		}
+		if kind == platform.KindConfig && since < newRevision {
+			return []objects.Object{configObject(newRevision, "valid")}, newRevision, nil
+		}
+		return nil, since, nil
+	}
+	stc := startStoreCacheOn(tst, "entry-12", pst)
+	eventually(tst, func() bool { return stc.table.Load() != nil })
+	time.Sleep(stc.maxCopyAge() + 500*time.Millisecond)
+	serversUp.Store(true)
+	eventually(tst, func() bool { return !stc.serverFollower().ConfirmedAt().IsZero() })
+	qt.Assert(tst, stc.ready(), qt.IsFalse)
+	qt.Assert(tst, stc.activeTable(), qt.IsNil)
+	configUp.Store(true)
+	eventually(tst, stc.ready)
+	_, ok := stc.activeTable().Authenticate("valid")
+	qt.Assert(tst, ok, qt.IsTrue)
+	// A daemon that has been ready serves on while the store is away.
+	configUp.Store(false)
+	time.Sleep(stc.maxCopyAge() + 500*time.Millisecond)
+	qt.Assert(tst, stc.ready(), qt.IsTrue)
+}
+
 func eventually(tst *testing.T, condition func() bool) {
 	tst.Helper()
 	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
--- a/internal/storesync/follower.go
+++ b/internal/storesync/follower.go
@@ -160,11 +160,13 @@
 	if stale {
 		list = fol.pst.ListStale
 	}
+	// The first of several pages may have been read long before the last one.
+	calledAt := fol.clk.Now()
 	objs, rev, err := list(ctx, fol.cfg.Kind)
 	if err != nil {
 		return errors.Trace(err)
 	}
-	fol.applyList(objs, rev, stale)
+	fol.applyList(objs, rev, calledAt, stale)
 	return nil
 }
 
@@ -301,9 +303,9 @@
 	return bat, true
 }
 
-// applyList replaces the copy. A stale list does not count as a confirmation by the store. What a store lacks that was just
+// applyList replaces the copy by a list that was called for at calledAt. A stale list does not count as a confirmation by the store. What a store lacks that was just
 // restored stays in the copy, until its writers had the time to write it again.
-func (fol *Follower) applyList(objs []objects.Object, rev uint64, stale bool) {
+func (fol *Follower) applyList(objs []objects.Object, rev uint64, calledAt time.Time, stale bool) {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
 	restored := fol.revision > 0 && objects.EraOf(rev) > objects.EraOf(fol.revision)
@@ -324,7 +326,7 @@
 	if stale {
 		return
 	}
-	fol.confirmToSelf()
+	fol.confirmToSelf(calledAt)
 	if fol.cfg.ExpectsFeed() {
 		fol.confirmedByFeedAt = fol.confirmedAt
 	}
@@ -335,7 +337,7 @@
 func (fol *Follower) applyWatch(since, next uint64, objs []objects.Object) {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
-	fol.confirmToSelf()
+	fol.confirmToSelf(fol.clk.Now())
 	if fol.revision == since {
 		fol.advance(since, next, objs)
 	}
@@ -367,9 +369,11 @@
 	}
 }
 
-func (fol *Follower) confirmToSelf() {
-	fol.confirmedToSelfAt = fol.clk.Now()
-	fol.confirm(fol.confirmedToSelfAt)
+// confirmToSelf records that the store itself confirmed to this daemon that the copy was current at the time at. The caller holds
+// the lock.
+func (fol *Follower) confirmToSelf(at time.Time) {
+	fol.confirmedToSelfAt = at
+	fol.confirm(at)
 }
 
 // confirm records that the copy was current at the time at.
@@ -436,17 +440,17 @@
 	return fol.confirmedToSelfAt
 }
 
-// IsCurrent reports whether the copy holds all changes that must be known: the store confirmed it within MaxAge to a daemon
-// that feeds others, or, where daemons do not feed each other, no call to the store has failed since it did.
+// IsCurrent reports whether the copy holds all changes that must be known: the store confirmed it within MaxAge or, where daemons
+// do not feed each other, no call to the store has failed since it did.
 func (fol *Follower) IsCurrent() bool {
 	isFed := fol.cfg.FeedsEnabled()
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
-	age := fol.clk.Since(fol.confirmedAt)
-	if isFed {
-		return !fol.confirmedAt.IsZero() && age < fol.cfg.MaxAge
+	if fol.confirmedAt.IsZero() {
+		return false
 	}
-	return !fol.confirmedAt.IsZero() && fol.failingSince.IsZero() && age < maxWatchedAge
+	age := fol.clk.Since(fol.confirmedAt)
+	return age < fol.cfg.MaxAge || (!isFed && fol.failingSince.IsZero() && age < maxWatchedAge)
 }
 
 // CurrentFor reports whether the store has confirmed the copy and no call has failed within the duration span.
--- a/internal/storesync/follower_test.go
+++ b/internal/storesync/follower_test.go
@@ -155,6 +155,11 @@
 }
 
 func startedWith(tst *testing.T, reg *registry, clk clockwork.Clock, cop *copied) (*storesync.Follower, *copied) {
+	tst.Helper()
+	return startedOn(tst, reg.store(), clk, cop)
+}
+
+func startedOn(tst *testing.T, pst objects.Store, clk clockwork.Clock, cop *copied) (*storesync.Follower, *copied) {
 	tst.Helper()
 	cfg := storesync.Config{
 		Kind:         kind,
@@ -170,7 +175,7 @@
 		AllowStale:  cop.allowStale.Load,
 		ExpectsFeed: func() bool { return false },
 	}
-	fol := storesync.New(cfg, reg.store(), cop.apply, clk, zap.NewNop())
+	fol := storesync.New(cfg, pst, cop.apply, clk, zap.NewNop())
 	ctx, cancel := context.WithCancel(tst.Context())
 	ended := make(chan struct{})
 	go func() {
@@ -466,3 +471,24 @@
 		}
 	}
 }
+
+// Guards against a copy that counts as younger than it is: the first page of a long list may have been read seconds before its last
+// one.
+func TestSlowListIsAsOldAsItsCall(tst *testing.T) {
+	reg := newRegistry()
+	clk := clockwork.NewFakeClock()
+	pst := reg.store()
+	list := pst.List
+	pst.List = func(ctx context.Context, kind string) ([]objects.Object, uint64, error) {
+		objs, rev, err := list(ctx, kind)
+		clk.Advance(maxAge)
+		return objs, rev, err
+	}
+	pst.Watch = func(ctx context.Context, _ string, _ uint64) ([]objects.Object, uint64, error) {
+		<-ctx.Done()
+		return nil, 0, objects.ErrUnavailable
+	}
+	fol, _ := startedOn(tst, pst, clk, &copied{})
+	qt.Assert(tst, fol.Age() >= maxAge, qt.IsTrue, qt.Commentf("%v", fol.Age()))
+	qt.Assert(tst, fol.IsCurrent(), qt.IsFalse)
+}
