Tell what is blocked once over each link

Every message with news of a crash repeated all that was blocked, and each second did so again to every peer. After an outage in which 240 prompt parts seemed to crash backend servers, a hub of the largest site sent 5,069 kB/s on a link of 2,500, with the news of crashes already sent once.

A combination that is found is a fact like a crash: sent at once and once over each link. All that is blocked is sent when a link is new, and every ten seconds for peers that lack some of it. No frame changed.

TestBlockedPartsLeaveLinksOfHubsFree failed before: 5,069 kB/s, bound 1,250.

--- a/internal/site/crashexchange.go
+++ b/internal/site/crashexchange.go
@@ -26,9 +26,11 @@
 	frameKindCrashes = "Crashes"
 	// blockedObjectName is the name of the object that holds what is blocked.
 	blockedObjectName = "blocked"
-	// blockedInterval is the time between two messages that repeat what is blocked, for peers that were unreachable or have
-	// started again, and between two checks whether the stored copy is current.
+	// blockedInterval is the time between two checks whether the stored copy of what is blocked is current.
 	blockedInterval = time.Second
+	// blockedRepeatInterval is the time between two messages that repeat all that is blocked, for peers that lack some of it. A
+	// new link starts with such a message.
+	blockedRepeatInterval = 10 * time.Second
 	// maxStoredRequests bounds the size of that object.
 	maxStoredRequests = 1000
 )
@@ -73,9 +75,11 @@
 	survivals *broadcastBuffer[promptcrash.Survival]
 	// requests holds the same crashes as evidence on whole requests, also on those without shared parts.
 	requests *broadcastBuffer[quarantine.Crash]
+	// found holds the combinations that have been blocked.
+	found *broadcastBuffer[promptcrash.Combination]
 
 	mu sync.Mutex
-	// blockedSentAt is when the other daemons were last told what is blocked, zero if that has changed since.
+	// blockedSentAt is when the other daemons were last told all that is blocked.
 	blockedSentAt time.Time
 }
 
@@ -83,6 +87,7 @@
 type crashProgress struct {
 	crashes   uint64
 	survivals uint64
+	found     uint64
 }
 
 func newCrashExchange(
@@ -107,12 +112,13 @@
 		crashes:   newBroadcastBuffer[promptcrash.Crash](clk),
 		survivals: newBroadcastBuffer[promptcrash.Survival](clk),
 		requests:  newBroadcastBuffer[quarantine.Crash](clk),
+		found:     newBroadcastBuffer[promptcrash.Combination](clk),
 	}
 	trk.DaemonCount = stc.daemonCount
 	trk.ReportBlocked = func(cmb promptcrash.Combination) {
 		cex.log.Warn("prompt parts crash backend servers; requests with them are rejected",
 			zap.String("model", cmb.Model), zap.Strings("promptParts", cmb.Parts))
-		cex.sendBlockedSoon()
+		cex.tellBlocked(cmb)
 	}
 	msh.Handle(frameKindCrashes, func(_ context.Context, from peer.Identity, body []byte) (any, error) {
 		var msg crashMessage
@@ -168,11 +174,9 @@
 	}
 }
 
-// sendBlockedSoon makes the next message to the other daemons leave at once, with what is blocked.
-func (cex *crashExchange) sendBlockedSoon() {
-	cex.mu.Lock()
-	cex.blockedSentAt = time.Time{}
-	cex.mu.Unlock()
+// tellBlocked tells the other daemons at once that a combination is blocked.
+func (cex *crashExchange) tellBlocked(cmb promptcrash.Combination) {
+	cex.found.add(cmb, cmb.Age)
 	cex.sendSoon()
 }
 
@@ -218,7 +222,7 @@
 			cex.log.Warn("another daemon reports prompt parts that crash backend servers", zap.String("peer", from.Name),
 				zap.String("model", cmb.Model), zap.Strings("promptParts", cmb.Parts), zap.Duration("age", cmb.Age))
 			if forwards {
-				cex.sendBlockedSoon()
+				cex.tellBlocked(cmb)
 			}
 		}
 	}
@@ -232,11 +236,9 @@
 }
 
 // message returns the next message to a daemon that has been sent the facts up to sent, and the progress after it. The
-// message also holds what is blocked.
+// message also lists blocked, all that is blocked, unless it is empty.
 func (cex *crashExchange) message(sent crashProgress, blocked []promptcrash.Combination) (crashMessage, crashProgress) {
-	msg := crashMessage{
-		Blocked: blocked,
-	}
+	var msg crashMessage
 	var next crashProgress
 	next.crashes = cex.crashes.forEachAfter(sent.crashes, func(crs promptcrash.Crash, age time.Duration) {
 		crs.SentAge += age - crs.Age
@@ -247,15 +249,21 @@
 		srv.Age = age
 		msg.Survivals = append(msg.Survivals, srv)
 	})
+	next.found = cex.found.forEachAfter(sent.found, func(cmb promptcrash.Combination, age time.Duration) {
+		cmb.Age = age
+		msg.Blocked = append(msg.Blocked, cmb)
+	})
+	if len(blocked) > 0 {
+		msg.Blocked = blocked
+	}
 	return msg, next
 }
 
-// takeBlocked returns what is blocked if the other daemons are to be told: when it has changed, and again after
-// blockedInterval.
+// takeBlocked returns all that is blocked if the other daemons are to be told again.
 func (cex *crashExchange) takeBlocked() []promptcrash.Combination {
 	now := cex.clk.Now()
 	cex.mu.Lock()
-	isDue := now.Sub(cex.blockedSentAt) >= blockedInterval
+	isDue := now.Sub(cex.blockedSentAt) >= blockedRepeatInterval
 	if isDue {
 		cex.blockedSentAt = now
 	}
--- a/internal/site/gossip.go
+++ b/internal/site/gossip.go
@@ -290,9 +290,8 @@
 			return
 		case <-gsp.cex.urgent:
 			gsp.urgentRounds.Inc(1)
-			blocked := gsp.cex.takeBlocked()
 			for _, rcp := range recipients {
-				gsp.send(ctx, rcp.Daemon, nil, blocked)
+				gsp.send(ctx, rcp.Daemon, nil, nil)
 			}
 			sleep(ctx, gsp.clk, interval/urgentRoundsPerInterval)
 		}
@@ -482,8 +481,9 @@
 	return obj, errors.Trace(err)
 }
 
-// send starts sending to one peer a message, unless it is nil, and the facts that the peer has not been sent. It does nothing
-// while the previous frames are being sent or the peer is in backoff.
+// send starts sending to one peer a message, unless it is nil, and the facts that the peer has not been sent. Over a new link, or
+// if blocked is not empty, it also sends all that is blocked. It does nothing while the previous frames are being sent or the peer
+// is in backoff.
 func (gsp *gossip) send(ctx context.Context, dmn hub.Daemon, msg *gossipMessage, blocked []promptcrash.Combination) {
 	now := gsp.clk.Now()
 	gsp.mu.Lock()
@@ -496,6 +496,7 @@
 		prg = peerProgress{
 			link: link,
 		}
+		blocked = gsp.cex.trk.Blocked(now)
 	}
 	if msg != nil {
 		gsp.addFacts(msg, &prg)
--- a/internal/site/gossip_test.go
+++ b/internal/site/gossip_test.go
@@ -253,6 +253,46 @@
 	}
 }
 
+// Guards against hubs whose links are full of repeated lists of what is blocked, after an outage in which many prompt parts seemed to
+// crash backend servers.
+func TestBlockedPartsLeaveLinksOfHubsFree(tst *testing.T) {
+	const (
+		blocked       = 240
+		blockInterval = 200 * time.Millisecond
+		measured      = 3 * time.Second
+	)
+	dmn, snt := newTestDaemon(tst, daemonName(0, 1), zoneName(0))
+	combination := func(num int) promptcrash.Combination {
+		return promptcrash.Combination{
+			Model: "model-of-10",
+			Parts: []string{fmt.Sprintf("%08x", num), fmt.Sprintf("%08x", num+1)},
+		}
+	}
+	for num := range blocked {
+		dmn.dep.Crashes.trk.RecordBlocked(combination(num), time.Now())
+	}
+	ctx, cancel := context.WithTimeout(tst.Context(), measured)
+	defer cancel()
+	var wgr sync.WaitGroup
+	wgr.Go(func() { dmn.dep.Gossip.run(ctx) })
+	from := peer.Identity{
+		Name:             daemonName(1, 0),
+		AvailabilityZone: zoneName(1),
+	}
+	for num := blocked; ctx.Err() == nil; num++ {
+		receiveLoads(dmn, true, uint64(num))
+		dmn.dep.Crashes.receive(from, crashMessage{
+			Blocked: []promptcrash.Combination{
+				combination(num),
+			},
+		})
+		time.Sleep(blockInterval)
+	}
+	wgr.Wait()
+	rate := float64(snt.toAll()) / measured.Seconds()
+	qt.Assert(tst, rate < testLinkRate/2, qt.IsTrue, qt.Commentf("%.0f kB/s on a link of %.0f", rate/1e3, testLinkRate/1e3))
+}
+
 // Guards against news that a peer misses since the connection broke on which it was in flight, and against news that is sent more
 // than once over one connection.
 func TestNewsIsSentOnceOverEachLink(tst *testing.T) {
