--- a/internal/site/gossip.go
+++ b/internal/site/gossip.go
@@ -50,9 +50,9 @@
 	// keyRetryInterval is the time between two attempts to load the key. A daemon that has not found a key for
 	// keyCreateDelay creates one, even if it is not the first by name: reads of the store may be some seconds stale.
 	keyRetryInterval = 400 * time.Millisecond
+	keyCreateDelay   = 4 * time.Second
 	// totalsInterval is the time between two log lines with the totals of the messages that were sent.
 	totalsInterval = 5 * time.Second
-	keyCreateDelay = 4 * time.Second
 )
 
 // gossipMessage is what a daemon periodically sends to other daemons: its load, and recent facts that all daemons need.
--- a/internal/site/storecache.go
+++ b/internal/site/storecache.go
@@ -627,8 +627,11 @@
 			continue
 		}
 		stc.outdated[kind] = isOutdated
-		stc.log.Warn("a copy of the store's objects became out of date or is current again", zap.String("kind", kind),
-			zap.Bool("outdated", isOutdated), zap.Duration("age", age), zap.Uint64("revision", fol.Revision()))
+		level, event := zap.InfoLevel, "a copy of the store's objects is current again"
+		if isOutdated {
+			level, event = zap.WarnLevel, "a copy of the store's objects is out of date"
+		}
+		stc.log.Log(level, event, zap.String("kind", kind), zap.Duration("age", age), zap.Uint64("revision", fol.Revision()))
 	}
 }
 
