Apply the changes of a watch that a batch overtook

When a batch of another daemon advanced the copy while a watch was under way, the watch's changes were dropped, but the copy counted as confirmed. It lacked the changes until the next watch or batch, and a daemon that feeds others told them that their copies were current, so that nobody looked at the store within the bound.

The response holds all changes after a revision that the copy has, so that it is applied like a batch that overlaps.

TestWatchThatABatchOvertookIsApplied failed before.

--- a/internal/storesync/follower.go
+++ b/internal/storesync/follower.go
@@ -332,15 +332,13 @@
 	}
 }
 
-// applyWatch applies the response to a watch, unless a batch of another daemon advanced the copy in the meantime: the
-// next watch then continues from there.
+// applyWatch applies the response to a watch since the revision since. A batch of another daemon may have advanced the copy in the
+// meantime, but never sets it back.
 func (fol *Follower) applyWatch(since, next uint64, objs []objects.Object) {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
+	fol.advance(since, next, objs)
 	fol.confirmToSelf(fol.clk.Now())
-	if fol.revision == since {
-		fol.advance(since, next, objs)
-	}
 }
 
 // advance applies changes if they lead beyond the revision of the copy. The caller holds the lock.
--- a/internal/storesync/follower_test.go
+++ b/internal/storesync/follower_test.go
@@ -492,3 +492,48 @@
 	qt.Assert(tst, fol.Age() >= maxAge, qt.IsTrue, qt.Commentf("%v", fol.Age()))
 	qt.Assert(tst, fol.IsCurrent(), qt.IsFalse)
 }
+
+// Guards against a copy that counts as confirmed although it lacks changes: those that a watch returns after a batch of another daemon
+// has advanced the copy to a revision in between.
+func TestWatchThatABatchOvertookIsApplied(tst *testing.T) {
+	reg := newRegistry()
+	clk := clockwork.NewFakeClock()
+	pst := reg.store()
+	answer := make(chan struct{})
+	var watches atomic.Int64
+	pst.Watch = func(ctx context.Context, _ string, since uint64) ([]objects.Object, uint64, error) {
+		if watches.Add(1) > 1 {
+			<-ctx.Done()
+			return nil, 0, objects.ErrUnavailable
+		}
+		<-answer
+		objs := []objects.Object{
+			{
+				Kind:    kind,
+				Name:    "s0",
+				Version: since + 1,
+			},
+			{
+				Kind:    kind,
+				Name:    "s1",
+				Version: since + 2,
+			},
+		}
+		return objs, since + 2, nil
+	}
+	cop := &copied{}
+	cop.watchSelf.Store(true)
+	fol, _ := startedOn(tst, pst, clk, cop)
+	eventually(tst, func() bool { return watches.Load() == 1 })
+	fol.ApplyBatch(storesync.Batch{
+		Kind:     kind,
+		Since:    1,
+		Revision: 2,
+		Packed:   packed(tst, "s0", 2, nil),
+	}, clk.Now())
+	clk.Advance(maxAge / 2)
+	close(answer)
+	eventually(tst, func() bool { return fol.Age() == 0 })
+	qt.Assert(tst, cop.version("s1"), qt.Equals, uint64(3))
+	qt.Assert(tst, fol.Revision(), qt.Equals, uint64(3))
+}
