Check the age of copies without the lock of the store cache

The check that logs the age of copies held the lock of the store cache while it asked the followers. A follower holds its own lock while it changes a copy, and takes that of the store cache. Both waited for each other, and the daemon answered no request any more. The fields belong to the one goroutine that checks and need no lock.

TestChecksOfCopiesDoNotBlockLists did not end before.

--- a/internal/site/storecache.go
+++ b/internal/site/storecache.go
@@ -100,7 +100,9 @@
 	addresses map[string]bool
 	// evacuated holds the zones that are out of service, with the versions of their evacuation objects.
 	evacuated map[string]uint64
-	// outdated holds the kinds whose copies were out of date at the last check; wasReady is what that check found.
+
+	// outdated holds the kinds whose copies were out of date at the last check, and wasReady whether this daemon was ready
+	// then. Only the goroutine of logCopies uses them: a follower holds its own lock while it changes a copy.
 	outdated map[string]bool
 	wasReady bool
 }
@@ -609,8 +611,6 @@
 // the copies.
 func (stc *storeCache) logCopies() {
 	isReady := stc.ready()
-	stc.mu.Lock()
-	defer stc.mu.Unlock()
 	if isReady != stc.wasReady {
 		stc.wasReady = isReady
 		fields := []zap.Field{zap.Bool("ready", isReady)}
--- a/internal/site/storecache_test.go
+++ b/internal/site/storecache_test.go
@@ -225,6 +225,37 @@
 	qt.Assert(tst, stc.ready(), qt.IsTrue)
 }
 
+// Guards against a daemon that stops answering for good: the check of the copies and a list that replaces one waited for each other's
+// locks.
+func TestChecksOfCopiesDoNotBlockLists(tst *testing.T) {
+	pst := (&staleStore{}).store()
+	list := pst.List
+	var lists atomic.Int64
+	pst.List = func(ctx context.Context, kind string) ([]objects.Object, uint64, error) {
+		lists.Add(1)
+		return list(ctx, kind)
+	}
+	pst.Watch = func(context.Context, string, uint64) ([]objects.Object, uint64, error) {
+		return nil, 0, objects.ErrHistoryGone
+	}
+	stc := startStoreCacheOn(tst, "entry-00", pst)
+	const checked = 2 * time.Second
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for end := time.Now().Add(checked); time.Now().Before(end); {
+			stc.logCopies()
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(2 * checked):
+		tst.Fatal("the check of the copies does not end")
+	}
+	before := lists.Load()
+	eventually(tst, func() bool { return lists.Load() > before })
+}
+
 func eventually(tst *testing.T, condition func() bool) {
 	tst.Helper()
 	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
