Log a copy as out of date only if it may lack changes

On a site without hubs the store confirms a copy that does not change every 2.5 s, longer than the bound within which changes must be known, so that the new line would have been logged at every watch.

--- a/internal/site/storecache.go
+++ b/internal/site/storecache.go
@@ -621,8 +621,7 @@
 	}
 	for _, kind := range activeKinds {
 		fol := stc.followers[kind]
-		age := fol.Age()
-		isOutdated := age >= stc.set.Site.KnowWithin
+		isOutdated := !fol.IsCurrent()
 		if isOutdated == stc.outdated[kind] || fol.ConfirmedAt().IsZero() {
 			continue
 		}
@@ -631,7 +630,7 @@
 		if isOutdated {
 			level, event = zap.WarnLevel, "a copy of the store's objects is out of date"
 		}
-		stc.log.Log(level, event, zap.String("kind", kind), zap.Duration("age", age), zap.Uint64("revision", fol.Revision()))
+		stc.log.Log(level, event, zap.String("kind", kind), zap.Duration("age", fol.Age()), zap.Uint64("revision", fol.Revision()))
 	}
 }
 
--- a/internal/storesync/follower.go
+++ b/internal/storesync/follower.go
@@ -303,8 +303,8 @@
 	return bat, true
 }
 
-// applyList replaces the copy by a list that was called for at calledAt. A stale list does not count as a confirmation by the store. What a store lacks that was just
-// restored stays in the copy, until its writers had the time to write it again.
+// applyList replaces the copy by a list that was called for at calledAt. A stale list does not count as a confirmation by the
+// store. What a store lacks that was just restored stays in the copy, until its writers had the time to write it again.
 func (fol *Follower) applyList(objs []objects.Object, rev uint64, calledAt time.Time, stale bool) {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
