Ignore a list that a batch overtook

After an outage a daemon lists a kind; the changes that another daemon passed on while the list was under way were undone when it arrived, until the next watch or batch brought them again: a server that drains and a zone that is evacuated were used meanwhile.

Batches follow each other without gaps, so that a copy beyond the list's revision holds all that the list holds, and the list only confirms it. After a restore of the store the list still replaces the copy.

TestListThatABatchOvertookIsIgnored failed before.

--- a/internal/storesync/follower.go
+++ b/internal/storesync/follower.go
@@ -308,6 +308,12 @@
 func (fol *Follower) applyList(objs []objects.Object, rev uint64, calledAt time.Time, stale bool) {
 	fol.mu.Lock()
 	defer fol.mu.Unlock()
+	if fol.relistAt.IsZero() && fol.revision > rev && objects.EraOf(rev) == objects.EraOf(fol.revision) {
+		// A batch of another daemon has advanced the copy beyond the list in the meantime.
+		fol.listedAt = fol.clk.Now()
+		fol.confirmToSelf(calledAt)
+		return
+	}
 	restored := fol.revision > 0 && objects.EraOf(rev) > objects.EraOf(fol.revision)
 	fol.apply(objs, !restored)
 	fol.relistAt = time.Time{}
--- a/internal/storesync/follower_test.go
+++ b/internal/storesync/follower_test.go
@@ -537,3 +537,45 @@
 	qt.Assert(tst, cop.version("s1"), qt.Equals, uint64(3))
 	qt.Assert(tst, fol.Revision(), qt.Equals, uint64(3))
 }
+
+// Guards against a copy that a slow list sets back behind the changes that another daemon passed on meanwhile: a backend server that
+// drains is used again, an evacuated zone is back in service.
+func TestListThatABatchOvertookIsIgnored(tst *testing.T) {
+	reg := newRegistry()
+	reg.put("s0")
+	clk := clockwork.NewRealClock()
+	pst := reg.store()
+	list := pst.List
+	answer := make(chan struct{})
+	var lists atomic.Int64
+	pst.List = func(ctx context.Context, kind string) ([]objects.Object, uint64, error) {
+		objs, rev, err := list(ctx, kind)
+		if lists.Add(1) > 1 {
+			<-answer
+		}
+		return objs, rev, err
+	}
+	var watches atomic.Int64
+	pst.Watch = func(ctx context.Context, _ string, _ uint64) ([]objects.Object, uint64, error) {
+		if watches.Add(1) > 1 {
+			<-ctx.Done()
+			return nil, 0, objects.ErrUnavailable
+		}
+		return nil, 0, objects.ErrHistoryGone
+	}
+	cop := &copied{}
+	cop.watchSelf.Store(true)
+	fol, _ := startedOn(tst, pst, clk, cop)
+	eventually(tst, func() bool { return lists.Load() == 2 })
+	fol.ApplyBatch(storesync.Batch{
+		Kind:     kind,
+		Since:    2,
+		Revision: 3,
+		Packed:   packed(tst, "s1", 3, nil),
+	}, clk.Now())
+	qt.Assert(tst, cop.version("s1"), qt.Equals, uint64(3))
+	close(answer)
+	eventually(tst, func() bool { return watches.Load() == 2 })
+	qt.Assert(tst, cop.version("s1"), qt.Equals, uint64(3))
+	qt.Assert(tst, fol.Revision(), qt.Equals, uint64(3))
+}
