--- a/internal/site/gossip_test.go
+++ b/internal/site/gossip_test.go
@@ -222,7 +222,7 @@
 		"sent by a hub": {
 			name:      daemonName(0, 1),
 			isHub:     true,
-			linkBytes: func(snt *sentBytes) int { return snt.toAll() },
+			linkBytes: (*sentBytes).toAll,
 		},
 		"sent to a hub by all others of its zone": {
 			name:      daemonName(0, 30),
--- a/internal/storesync/follower_test.go
+++ b/internal/storesync/follower_test.go
@@ -493,6 +493,19 @@
 	qt.Assert(tst, fol.IsCurrent(), qt.IsFalse)
 }
 
+// answerFirstWatch makes a store answer its first watch by the result of answer, and no later one. It returns the number of watches.
+func answerFirstWatch(pst *objects.Store, answer func(since uint64) ([]objects.Object, uint64, error)) *atomic.Int64 {
+	var watches atomic.Int64
+	pst.Watch = func(ctx context.Context, _ string, since uint64) ([]objects.Object, uint64, error) {
+		if watches.Add(1) > 1 {
+			<-ctx.Done()
+			return nil, 0, objects.ErrUnavailable
+		}
+		return answer(since)
+	}
+	return &watches
+}
+
 // Guards against a copy that counts as confirmed although it lacks changes: those that a watch returns after a batch of another daemon
 // has advanced the copy to a revision in between.
 func TestWatchThatABatchOvertookIsApplied(tst *testing.T) {
@@ -500,12 +513,7 @@
 	clk := clockwork.NewFakeClock()
 	pst := reg.store()
 	answer := make(chan struct{})
-	var watches atomic.Int64
-	pst.Watch = func(ctx context.Context, _ string, since uint64) ([]objects.Object, uint64, error) {
-		if watches.Add(1) > 1 {
-			<-ctx.Done()
-			return nil, 0, objects.ErrUnavailable
-		}
+	watches := answerFirstWatch(&pst, func(since uint64) ([]objects.Object, uint64, error) {
 		<-answer
 		objs := []objects.Object{
 			{
@@ -520,7 +528,7 @@
 			},
 		}
 		return objs, since + 2, nil
-	}
+	})
 	cop := &copied{}
 	cop.watchSelf.Store(true)
 	fol, _ := startedOn(tst, pst, clk, cop)
@@ -555,14 +563,7 @@
 		}
 		return objs, rev, err
 	}
-	var watches atomic.Int64
-	pst.Watch = func(ctx context.Context, _ string, _ uint64) ([]objects.Object, uint64, error) {
-		if watches.Add(1) > 1 {
-			<-ctx.Done()
-			return nil, 0, objects.ErrUnavailable
-		}
-		return nil, 0, objects.ErrHistoryGone
-	}
+	watches := answerFirstWatch(&pst, func(uint64) ([]objects.Object, uint64, error) { return nil, 0, objects.ErrHistoryGone })
 	cop := &copied{}
 	cop.watchSelf.Store(true)
 	fol, _ := startedOn(tst, pst, clk, cop)
