Log how long a stream had stood still when its request ended

request ended now has givenUp, the number of responses that were given up for another backend server, and sinceLastEvent.

--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -109,6 +109,7 @@
 		zap.String("model", run.requestHeaders.Model),
 		zap.Int("sends", run.sends),
 		zap.Int("runs", run.runs),
+		zap.Int("givenUp", run.givenUp),
 		zap.Duration("waitedBefore", run.waitedBefore),
 		zap.Duration("took", run.relay.clock.Since(run.startedAt)),
 		zap.Duration("time", run.deadline.Sub(run.startedAt)),
@@ -136,5 +137,8 @@
 	if !run.firstByteAt.IsZero() {
 		fields = append(fields, zap.Duration("first", run.firstByteAt.Sub(run.startedAt)))
 	}
+	if !run.lastEventAt.IsZero() {
+		fields = append(fields, zap.Duration("sinceLastEvent", run.relay.clock.Since(run.lastEventAt)))
+	}
 	run.relay.logger.Info("request ended", fields...)
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -81,6 +81,8 @@
 	sends    int
 	arrivals int
 	runs     int
+	// givenUp counts the responses that were given up for another backend server.
+	givenUp int
 	// failedServers holds the IDs of backend servers that may have run the request but gave no usable response: the
 	// connection broke, or the response was a server error or had a fault. decliningServers holds the IDs of those
 	// that reported the request as not run or could not be reached since the last wait.
@@ -338,6 +340,7 @@
 	switch {
 	case watch.gaveUp():
 		connection, all := watch.silences(now)
+		run.givenUp++
 		run.relay.requestMetrics.stalledStreams.Inc(1)
 		run.relay.logger.Info("gave up a response without progress", zap.String("request", run.requestHeaders.RequestID),
 			zap.String("server", server), zap.Bool("firstEventSent", run.committed),
