Keep a stalled response until its replacement has begun to answer

Cause: a response without progress was given up as soon as another backend server was chosen and a retry was taken. A choice is not an answer: the other server may decline as it is full, reset the connection, be unreachable, break off or be as silent as the first one. The first response was closed by then, and with no further retry left the request was ended.

Change: the request is sent to the other server beside the stalled one. Whichever gives a part of the response first is taken and the other connection is closed at once. If the other send fails, the first one is waited for, and a further server is tried within max-attempts and the retry budget. If the first one fails, the request goes on with the sends that are in progress. A part of a response that arrives after it was given up is not forwarded.

TestClockStepsNeitherStallNorHideStreams observes the stall itself now, since a stall no longer ends a response.

--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,7 +8,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/cumintally/cumintally/internal/serverregistry"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
@@ -22,8 +20,9 @@
 	maxResponseSize = 64 << 20
 )
 
-// bufferedResponse is a response that was read to its end.
+// bufferedResponse is a response of a backend server that was read to its end.
 type bufferedResponse struct {
+	server string
 	status int
 	header http.Header
 	body   []byte
@@ -41,41 +40,18 @@
 
 const errTooLargeToBuffer = errors.ConstError("relay: response too large to buffer")
 
-// forwardBuffered forwards a response that is no event stream, reading it whole first if it is small enough.
-func (run *run) forwardBuffered(ctx context.Context, watch *stallWatch, srv *serverregistry.Server, res *upstream.Response, rhd ResponseHeaders) (outcome, error) {
-	server := srv.ID
-	body, err := readBuffered(res)
-	if errors.Is(err, errTooLargeToBuffer) {
-		return run.forwardUnbuffered(ctx, watch, srv, res, rhd, body)
+// forwardBuffered forwards a response that is no event stream.
+func (run *run) forwardBuffered(watch *stallWatch, snd *send) (outcome, error) {
+	if snd.tooLarge {
+		return run.forwardUnbuffered(watch, snd)
 	}
-	if err != nil {
-		res.Finish(false)
-		return unknown, run.recordBrokenConnection(ctx, watch, srv, err)
-	}
-	res.Finish(true)
-	watch.recordProgress(run.relay.clock.Now())
 	watch.stop()
-	rsp := &bufferedResponse{
-		status: res.StatusCode,
-		header: res.Header,
-		body:   body,
-	}
-	now := run.relay.clock.Now()
-	if fault := responseFault(res, rhd); fault != "" {
-		run.relay.outliers.RecordFailure(server, now)
-		return unknown, errors.Errorf("backend server %s: %s", server, fault)
-	}
-	if rsp.status >= http.StatusInternalServerError {
-		run.relay.outliers.RecordFailure(server, now)
-		if run.canRetry() && ctx.Err() == nil {
-			run.serverError = rsp
-			return unknown, errors.Errorf("backend server %s responded with status %d", server, rsp.status)
-		}
-	} else {
-		run.relay.outliers.RecordSuccess(server, now)
-		run.recordWriting(now, true)
-	}
-	run.sendBuffered(rsp, server)
+	run.sendBuffered(&bufferedResponse{
+		server: snd.pick.Server.ID,
+		status: snd.response.StatusCode,
+		header: snd.response.Header,
+		body:   snd.part,
+	})
 	return answered, nil
 }
 
@@ -107,12 +83,7 @@
 	}
 }
 
-func (run *run) sendBuffered(rsp *bufferedResponse, server string) {
-	if run.committed {
-		// The caller has received part of a stream, which another response cannot replace.
-		run.abortResponse(errors.Errorf("received status %d instead of the rest of the stream", rsp.status))
-		return
-	}
+func (run *run) sendBuffered(rsp *bufferedResponse) {
 	run.commitHeaders(rsp.header)
 	run.writer.Header().Set("Content-Length", strconv.Itoa(len(rsp.body)))
 	run.writer.WriteHeader(rsp.status)
@@ -120,21 +91,15 @@
 		run.recordDisconnect(err)
 		return
 	}
-	run.recordCompletion(server, rsp.status)
+	run.recordCompletion(rsp.server, rsp.status)
 }
 
-// forwardUnbuffered forwards a response to the caller while reading it; head is what was read so far. From then on only the server
-// itself can complete it.
-func (run *run) forwardUnbuffered(ctx context.Context, watch *stallWatch, srv *serverregistry.Server, res *upstream.Response, rhd ResponseHeaders, head []byte) (outcome, error) {
-	server := srv.ID
-	if fault := responseFault(res, rhd); fault != "" || run.committed {
-		res.Finish(false)
-		return unknown, errors.Errorf("backend server %s: %s", server, fault)
-	}
-	if watch.stop() != nil {
-		res.Finish(false)
-		return unknown, run.recordBrokenConnection(ctx, watch, srv, errors.New("given up for another backend server"))
+// forwardUnbuffered forwards a response to the caller while reading it. From then on only the server itself can complete it.
+func (run *run) forwardUnbuffered(watch *stallWatch, snd *send) (outcome, error) {
+	if !watch.stop() {
+		return unknown, errGivenUp
 	}
+	res, head := snd.response, snd.part
 	run.commitHeaders(res.Header)
 	if res.ContentLength >= 0 {
 		run.writer.Header().Set("Content-Length", strconv.FormatInt(res.ContentLength, 10))
@@ -151,12 +116,12 @@
 			err = errors.Errorf("the response exceeds %d bytes", num+int64(len(head)))
 		}
 	}
-	res.Finish(err == nil)
+	snd.finish(err == nil)
 	if err != nil {
 		run.abortResponse(err)
 		return answered, nil
 	}
-	run.recordCompletion(server, res.StatusCode)
+	run.recordCompletion(snd.pick.Server.ID, res.StatusCode)
 	return answered, nil
 }
 
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -31,7 +31,7 @@
 	case run.committed:
 		run.abortResponse(cause)
 	case run.serverError != nil:
-		run.sendBuffered(run.serverError, "")
+		run.sendBuffered(run.serverError)
 	case run.runs > 0 && ctx.Err() != nil:
 		run.reject(refusal.New(refusal.Unknown, http.StatusGatewayTimeout, "Deadline passed", "the backend server has not answered in time", 0))
 	case run.runs > 0:
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -3,15 +3,12 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
 
-	"github.com/cumintally/cumintally/internal/placement"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
@@ -29,48 +26,29 @@
 
 // forwardEvents forwards whole events as they arrive. Nothing is sent to the caller before the first event, so that a
 // stream that breaks earlier can restart at another backend server.
-func (run *run) forwardEvents(ctx context.Context, watch *stallWatch, pick placement.Pick, rsp *upstream.Response, rhd ResponseHeaders) (outcome, error) {
-	server := pick.Server.ID
-	if fault := responseFault(rsp, rhd); fault != "" {
-		rsp.Finish(false)
-		run.relay.outliers.RecordFailure(server, run.relay.clock.Now())
-		return unknown, errors.Errorf("backend server %s: %s", server, fault)
-	}
-	rdr := bufio.NewReaderSize(rsp.Body, eventBufferSize)
+func (run *run) forwardEvents(watch *stallWatch, snd *send) (outcome, error) {
+	server := snd.pick.Server.ID
 	for {
-		evt, err := readEvent(rdr)
-		if errors.Is(err, io.EOF) && len(evt) > 0 {
-			// Without a length, the end of the connection is the only sign that the server broke off.
-			err = errors.Annotate(io.ErrUnexpectedEOF, "the stream ended inside an event")
-		}
-		if err != nil && !errors.Is(err, io.EOF) {
-			rsp.Finish(false)
-			return unknown, run.recordBrokenConnection(ctx, watch, pick.Server, err)
-		}
-		if len(evt) > 0 {
-			now := run.relay.clock.Now()
-			pick.ResponseBegan()
-			watch.recordProgress(now)
-			run.recordWriting(now, false)
-			if perr := watch.deliver(func() error { return run.forwardEvent(rsp.Header, evt) }); perr != nil {
-				rsp.Finish(false)
-				run.recordDisconnect(perr)
+		if len(snd.part) > 0 {
+			if !watch.recordProgress(run.relay.clock.Now()) {
+				return unknown, errGivenUp
+			}
+			if err := watch.deliver(func() error { return run.forwardEvent(snd.response.Header, snd.part) }); err != nil {
+				run.recordDisconnect(err)
 				return answered, nil
 			}
 		}
-		if err == nil {
-			continue
+		if snd.ended {
+			watch.stop()
+			now := run.relay.clock.Now()
+			run.relay.outliers.RecordSuccess(server, now)
+			snd.recordWriting(now, true)
+			run.recordCompletion(server, http.StatusOK)
+			return answered, nil
 		}
-		rsp.Finish(true)
-		if !run.committed {
-			run.relay.outliers.RecordFailure(server, run.relay.clock.Now())
-			return unknown, errors.New("the stream ended before its first event")
+		if err := snd.readPart(); err != nil {
+			return unknown, err
 		}
-		now := run.relay.clock.Now()
-		run.relay.outliers.RecordSuccess(server, now)
-		run.recordWriting(now, true)
-		run.recordCompletion(server, http.StatusOK)
-		return answered, nil
 	}
 }
 
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,7 +16,6 @@
 	"github.com/cumintally/cumintally/internal/refusal"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverregistry"
-	"github.com/cumintally/cumintally/internal/upstream"
 )
 
 // maxExtraSends is the number of sends allowed beyond the route's attempts. A send that the backend server reports as
@@ -25,13 +23,6 @@
 const maxExtraSends = 2
 
 const (
-	// firstConnectTimeout bounds the time to connect for the first send of a request: a server that is down does not
-	// respond, and another one can still be on time. Each further send has twice the time, since slow links or a busy VM
-	// can delay all connections.
-	firstConnectTimeout = 120 * time.Millisecond
-	// settlingTime is the time after the first part of a response during which the request may still crash its backend
-	// server: a few steps of an engine.
-	settlingTime = 250 * time.Millisecond
 	// latePriorityOffset is added to the priority of a request that will miss its objective, so that it ranks behind
 	// every request that can still meet it.
 	latePriorityOffset = 5
@@ -95,20 +86,15 @@
 	// lastEventID is the ID of the last event sent to the caller; lastEventAt is when it was sent.
 	lastEventID string
 	lastEventAt time.Time
-	// pick is the latest choice of a backend server, and sentAt when it was made. Its response has been arriving since
-	// writingSince, the zero time before. survived is set once that is reported.
-	pick         placement.Pick
-	sentAt       time.Time
-	writingSince time.Time
-	survived     bool
+	// pick is the latest choice of a backend server.
+	pick placement.Pick
 	// blocked is set if the request was ended because it may crash backend servers.
 	blocked bool
 	// excessDelay is how far the forecast for the first token exceeds the route's objective, or the time until a paused
 	// backend server accepts requests again if that is longer.
 	excessDelay time.Duration
-	// replacement is the choice of a backend server for which the latest response was given up, nil if there is none. Its retry has
-	// been taken from the budget.
-	replacement *placement.Pick
+	// replacement is the send that has begun in place of the latest one, nil if there is none.
+	replacement *send
 	// serverError is an error response of a backend server, delivered if a retry brings nothing better.
 	serverError *bufferedResponse
 }
@@ -116,7 +102,6 @@
 // serve sends the request until it is answered or may not be retried.
 func (run *run) serve(ctx context.Context) {
 	rly := run.relay
-	defer run.releaseReplacement()
 	rly.requestMetrics.requests.Inc(1)
 	rly.deps.RecordRequest(run.service.Name, run.startedAt)
 	if run.waitedBefore == 0 {
@@ -136,11 +121,16 @@
 			run.fail(ctx, err)
 			return
 		}
-		out, err := run.attempt(ctx, pick)
+		run.sends++
+		out, err := run.attempt(ctx, run.newSend(ctx, pick, run.sends))
+		for out != answered && run.replacement != nil {
+			snd := run.replacement
+			run.replacement = nil
+			out, err = run.attempt(ctx, snd)
+		}
 		if out == answered {
 			return
 		}
-		run.recordFailedSend(pick, out, err)
 		if ctx.Err() != nil || !run.canRetry() {
 			run.fail(ctx, err)
 			return
@@ -154,10 +144,6 @@
 
 // nextServer returns the backend server for the next send. If that send is a retry, it is taken from the budget.
 func (run *run) nextServer() (placement.Pick, error) {
-	if next := run.replacement; next != nil {
-		run.replacement = nil
-		return *next, nil
-	}
 	rly := run.relay
 	// A send that reached no backend server adds no load, so that the next one is no retry.
 	if run.arrivals == 0 {
@@ -182,14 +168,6 @@
 	return pick, err
 }
 
-// releaseReplacement releases a replacement that is not used, since the request has ended.
-func (run *run) releaseReplacement() {
-	if run.replacement != nil {
-		run.replacement.Release()
-		run.replacement = nil
-	}
-}
-
 // blockedFor returns the time for which the request must not run since it may crash backend servers. A stream of which the
 // caller has received a part has run soundly before.
 func (run *run) blockedFor() time.Duration {
@@ -283,172 +261,68 @@
 	}
 }
 
-// attempt sends the request to one backend server and releases pick.
-func (run *run) attempt(ctx context.Context, pick placement.Pick) (outcome, error) {
+// attempt sends the request to one backend server, unless that has been done, and forwards the response. While the response is stalled,
+// the request is sent to other servers, too; if one of them begins to answer first, or the send fails meanwhile, attempt sets
+// run.replacement.
+func (run *run) attempt(ctx context.Context, snd *send) (outcome, error) {
 	// A response that is aborted ends the goroutine of the request by a panic.
-	defer pick.Release()
-	rly := run.relay
-	run.sends++
-	run.pick = pick
-	run.sentAt = rly.clock.Now()
-	run.writingSince = time.Time{}
-	run.survived = false
-	srv := pick.Server
-	con, err := run.connect(ctx, srv.Address)
-	if err != nil {
-		if ctx.Err() == nil && !errors.Is(err, upstream.ErrPathBroken) {
-			rly.outliers.Eject(srv.ID, rly.clock.Now())
-		}
-		return notRun, errors.Trace(err)
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watch := run.watchStall(pick, cancel)
-	defer func() { run.replacement = watch.stop() }()
-	rsp, err := con.Do(ctx, run.buildCall(pick))
-	if errors.Is(err, upstream.ErrNotSent) {
-		return notRun, errors.Trace(err)
-	}
-	run.arrivals++
-	if err != nil {
-		run.runs++
-		return unknown, run.recordBrokenConnection(ctx, watch, srv, err)
-	}
-	return run.handleResponse(ctx, watch, pick, rsp)
-}
-
-// connect returns a connection to the backend server at address on which the response to the request can be told from earlier ones. One
-// that has carried the request before cannot be used: the server may have restarted under another ID, or be registered under two.
-func (run *run) connect(ctx context.Context, address string) (*upstream.Conn, error) {
-	for {
-		con, err := run.relay.deps.Connect(ctx, address, firstConnectTimeout<<(run.sends-1))
-		if err != nil || con.Distinguishes(run.requestHeaders.RequestID) {
-			return con, errors.Trace(err)
-		}
-		run.relay.logger.Info("closing a kept connection on which a response could belong to an earlier send",
-			zap.String("request", run.requestHeaders.RequestID), zap.String("address", address), zap.Int("send", run.sends))
-		con.Close()
-	}
-}
-
-// recordBrokenConnection records a connection that ended before the response was complete.
-func (run *run) recordBrokenConnection(ctx context.Context, watch *stallWatch, srv *serverregistry.Server, err error) error {
-	server := srv.ID
-	// The event includes the start of the process: one that restarts under the same ID can crash again.
-	event := server + "/" + strconv.FormatInt(srv.StartTime, 10)
-	now := run.relay.clock.Now()
-	switch {
-	case watch.gaveUp():
-		connection, all := watch.silences(now)
+	defer snd.close()
+	run.pick = snd.pick
+	watch := run.watchStall(ctx, snd)
+	defer watch.abandon()
+	out, err := run.exchange(watch, snd)
+	if out == answered {
+		return answered, nil
+	}
+	if watch.gaveUp() {
 		run.givenUp++
-		run.relay.requestMetrics.stalledStreams.Inc(1)
-		run.relay.logger.Info("gave up a response without progress", zap.String("request", run.requestHeaders.RequestID),
-			zap.String("server", server), zap.Bool("firstEventSent", run.committed),
-			zap.Duration("connectionSilentFor", connection), zap.Duration("serverSilentFor", all))
-		run.relay.deps.SuspectPath(srv.Address)
-		if run.service.Engine == nil {
-			// For a plain service, one lost response says nothing about other requests to the server.
-			run.relay.outliers.RecordFailure(server, now)
-		} else {
-			run.relay.outliers.Eject(server, now)
-		}
-		return errors.Annotate(err, "no progress")
-	case ctx.Err() == nil && !errors.Is(err, upstream.ErrPathBroken):
-		run.relay.outliers.RecordFailure(server, now)
-		if !run.hasSettled(now) {
-			run.relay.deps.ReportCrash(Crash{
-				Request: run.identity(),
-				Event:   event,
-				SentAt:  run.sentAt,
-			}, now)
-		}
+		err = errors.Annotate(err, "no progress")
 	}
-	return errors.Trace(err)
+	run.recordFailedSend(snd, out, err)
+	run.awaitReplacement(watch)
+	return out, err
 }
 
-// hasSettled reports whether the response has been arriving for so long that the request would have crashed its backend
-// server before.
-func (run *run) hasSettled(now time.Time) bool {
-	return !run.writingSince.IsZero() && now.Sub(run.writingSince) >= settlingTime
-}
+// errGivenUp means that a response was given up for one of another backend server.
+const errGivenUp = errors.ConstError("given up for another backend server")
 
-// recordWriting records that a part of the response arrived; complete is set if it was the last one.
-func (run *run) recordWriting(now time.Time, complete bool) {
-	if run.writingSince.IsZero() {
-		run.writingSince = now
+// exchange begins the send unless it has begun, and forwards the response.
+func (run *run) exchange(watch *stallWatch, snd *send) (outcome, error) {
+	if !snd.begun {
+		out, err := snd.begin()
+		run.count(snd)
+		if err != nil {
+			return out, err
+		}
 	}
-	if !run.survived && (complete || run.hasSettled(now)) {
-		run.survived = true
-		run.relay.deps.ReportSurvival(run.identity(), now)
+	if snd.events != nil {
+		return run.forwardEvents(watch, snd)
 	}
+	return run.forwardBuffered(watch, snd)
 }
 
-func (run *run) buildCall(pick placement.Pick) upstream.Request {
-	hdr := forwardedHeader(run.request.Header)
-	last := run.lastEventID
-	if last == "" {
-		last = run.requestHeaders.LastEventID
+// count counts what became of a send.
+func (run *run) count(snd *send) {
+	if snd.arrived {
+		run.arrivals++
 	}
-	run.relay.format.RewriteRequest(hdr, ForwardHeaders{
-		TimeLeft:    run.deadline.Sub(run.relay.clock.Now()),
-		ServerID:    pick.Server.ID,
-		Workspace:   run.workspace,
-		LastEventID: last,
-		Priority:    run.sendPriority(pick.Forecast),
-	})
-	return upstream.Request{
-		ID:     run.requestHeaders.RequestID,
-		Method: run.request.Method,
-		Target: run.target,
-		Host:   run.request.Host,
-		Header: hdr,
-		Body:   run.body,
-		Match: func(res *http.Response) upstream.Match {
-			switch run.relay.format.ParseResponse(res).RequestID {
-			case "":
-				return upstream.Unnamed
-			case run.requestHeaders.RequestID:
-				return upstream.Same
-			default:
-				return upstream.Other
-			}
-		},
-	}
-}
-
-// sendPriority returns the priority at the backend server, 0 being the most urgent. A request that will miss its
-// objective in any case yields to those that can still meet it; a stream that has begun precedes all others.
-func (run *run) sendPriority(forecast time.Duration) int {
-	switch late := run.waitedBefore+run.relay.clock.Since(run.startedAt)+forecast > run.route.Objective; {
-	case run.committed:
-		return 0
-	case run.route.Objective > 0 && forecast > 0 && late:
-		return run.priority + latePriorityOffset
-	default:
-		return run.priority
+	if snd.mayHaveRun {
+		run.runs++
 	}
 }
 
-// handleResponse classifies a response by its headers and forwards it to the caller.
-func (run *run) handleResponse(ctx context.Context, watch *stallWatch, pick placement.Pick, rsp *upstream.Response) (outcome, error) {
-	server := pick.Server.ID
-	rhd := run.relay.format.ParseResponse(rsp.Response)
-	run.applyServerState(pick.Server, rhd)
-	if rhd.NotRun || rhd.Misdirected {
-		rsp.Finish(rsp.Discard() == nil)
-		if rhd.FaultyServerID != "" && rhd.FaultyServerID != server {
-			run.relay.outliers.Eject(server, run.relay.clock.Now())
-		}
-		return notRun, errors.Errorf("backend server %s did not run the request: status %d", server, rsp.StatusCode)
-	}
-	run.runs++
-	if isEventStream(rsp) && rsp.StatusCode == http.StatusOK {
-		return run.forwardEvents(ctx, watch, pick, rsp, rhd)
+// awaitReplacement waits for the sends beside one that has failed, until one of them has begun or all have failed.
+func (run *run) awaitReplacement(watch *stallWatch) {
+	var rst replacements
+	run.replacement, rst = watch.await()
+	run.sends += rst.started
+	run.arrivals += rst.arrivals
+	run.runs += rst.runs
+	run.failedServers = append(run.failedServers, rst.failed...)
+	run.decliningServers = append(run.decliningServers, rst.declining...)
+	if rst.serverError != nil {
+		run.serverError = rst.serverError
 	}
-	if run.service.Engine == nil {
-		pick.ResponseBegan()
-	}
-	return run.forwardBuffered(ctx, watch, pick.Server, rsp, rhd)
 }
 
 // applyServerState applies what the headers of a response say about the backend server itself.
@@ -473,21 +347,29 @@
 }
 
 // recordFailedSend records and logs a send that gave no response for the caller.
-func (run *run) recordFailedSend(pick placement.Pick, out outcome, err error) {
+func (run *run) recordFailedSend(snd *send, out outcome, err error) {
 	if out == unknown {
-		run.failedServers = append(run.failedServers, pick.Server.ID)
+		run.failedServers = append(run.failedServers, snd.pick.Server.ID)
 	} else {
-		run.decliningServers = append(run.decliningServers, pick.Server.ID)
+		run.decliningServers = append(run.decliningServers, snd.pick.Server.ID)
+	}
+	if snd.serverError != nil {
+		run.serverError = snd.serverError
 	}
+	run.logFailedSend(snd, out, err, run.committed, run.lastEventID)
+}
+
+// logFailedSend logs a send that gave no response for the caller. The last event that the caller had received is the one called lastEvent.
+func (run *run) logFailedSend(snd *send, out outcome, err error, firstEventSent bool, lastEvent string) {
 	run.relay.logger.Info("send gave no usable response",
 		zap.String("request", run.requestHeaders.RequestID),
-		zap.String("server", pick.Server.ID),
-		zap.Uint64("entryVersion", pick.Server.Version),
-		zap.Int("send", run.sends),
+		zap.String("server", snd.pick.Server.ID),
+		zap.Uint64("entryVersion", snd.pick.Server.Version),
+		zap.Int("send", snd.number),
 		zap.Bool("mayHaveRun", out == unknown),
-		zap.Bool("firstEventSent", run.committed),
+		zap.Bool("firstEventSent", firstEventSent),
 		zap.Strings("promptParts", run.requestHeaders.SharedParts),
-		zap.String("lastEvent", run.lastEventID),
+		zap.String("lastEvent", lastEvent),
 		logging.Error(err),
 	)
 }
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +12,6 @@
 
 	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/placement"
-	"github.com/cumintally/cumintally/internal/serverregistry"
 )
 
 const (
@@ -31,32 +32,58 @@
 	stallCheckInterval = 150 * time.Millisecond
 )
 
-// stallWatch gives up a response of which nothing arrives, once the request can be sent to another backend server instead. Silence
-// alone is no reason to give up a response: it may go on, as after a pause of all servers, and without a replacement nothing is
-// better. A stream that only queues at a busy backend server is not given up.
+// stallWatch sends a request to further backend servers while its response is stalled, and gives the response up once one of them has
+// begun to answer. Silence alone is no reason to give up a response: it may go on, as after a pause of all servers, and a server that was
+// only chosen may decline, break off or be silent, too. A stream that only queues at a busy backend server is not stalled.
 type stallWatch struct {
-	relay *Relay
-	// request is the ID of the request.
-	request string
-	server  *serverregistry.Server
+	run *run
+	// ctx is that of the request.
+	ctx context.Context
+	// send is the one whose response is watched, and timeout the time without progress after which it counts as stalled.
+	send    *send
 	timeout time.Duration
-	// sharedStreams is set if bytes of any stream of the server count as progress.
+	// sharedStreams is set if bytes of any stream of a server count as progress.
 	sharedStreams bool
-	// replace returns the choice of another backend server, to which the request may be sent once more.
-	replace func(begun bool) (placement.Pick, error)
-	cancel  context.CancelFunc
+	// request is what replacements are chosen for. runs and sends are those of the request when the watch began, the watched send included.
+	request placement.Request
+	runs    int
+	sends   int
+	// onStall is called with the time of the stall, while the lock is held.
+	onStall func(now time.Time)
 
 	mu           sync.Mutex
 	timer        *time.Timer
 	lastProgress time.Time
-	// begun is set once bytes of the response have arrived, and ended once it is no longer watched.
-	begun bool
-	ended bool
+	// begun is set once bytes of the response have arrived, failed once the watched send has failed, and ended once nothing is watched
+	// any more.
+	begun  bool
+	failed bool
+	ended  bool
 	// delivering is set while the caller receives a part of the response. Nothing is read meanwhile.
 	delivering bool
-	// waiting is set once the response was found stalled and could not be replaced.
-	waiting     bool
-	replacement *placement.Pick
+	// reported is set once the stall is reported, and waiting once it is known that nothing can replace the response.
+	reported bool
+	waiting  bool
+	// givenUp is set once the response was given up for a replacement.
+	givenUp bool
+	// inProgress are the sends that may replace the watched one, replacement is the one that has begun first, and results holds what
+	// became of the others. settled is signalled when a send has begun or failed.
+	inProgress  []*send
+	replacement *send
+	results     replacements
+	settled     *sync.Cond
+}
+
+// replacements is what became of the sends beside a stalled one.
+type replacements struct {
+	// started counts all of them, arrivals those that may have reached a backend server, and runs those that one may have run.
+	started  int
+	arrivals int
+	runs     int
+	// failed and declining hold the IDs of the backend servers, as in run.
+	failed      []string
+	declining   []string
+	serverError *bufferedResponse
 }
 
 // stallTimeout returns the time without a byte after which a request counts as stalled.
@@ -72,89 +99,204 @@
 }
 
 // watchStall starts a watch for a request that can be retried; for any other request the watch never fires.
-func (run *run) watchStall(pick placement.Pick, cancel context.CancelFunc) *stallWatch {
+func (run *run) watchStall(ctx context.Context, snd *send) *stallWatch {
 	wch := &stallWatch{
-		relay:        run.relay,
-		request:      run.requestHeaders.RequestID,
-		server:       pick.Server,
-		cancel:       cancel,
-		lastProgress: run.relay.clock.Now(),
-
+		run:           run,
+		ctx:           ctx,
+		send:          snd,
+		timeout:       run.stallTimeout(snd.pick.UsualTime),
 		sharedStreams: run.service.Engine != nil,
+		runs:          run.runs,
+		sends:         run.sends,
+		lastProgress:  run.relay.clock.Now(),
 	}
-	if !run.route.Repeatable() || run.runs+1 >= run.maxAttempts() || run.sends >= run.maxSends() {
+	wch.settled = sync.NewCond(&wch.mu)
+	if !run.route.Repeatable() {
 		return wch
 	}
-	wch.replace = run.replacer(pick.Server.ID)
-	wch.timeout = run.stallTimeout(pick.UsualTime)
+	if !snd.begun {
+		wch.runs++
+	}
+	wch.onStall = wch.sendElsewhere
+	wch.request = run.placementRequest()
+	wch.request.MaxUsefulForecast = nil
 	wch.mu.Lock()
 	defer wch.mu.Unlock()
-	wch.timer = time.AfterFunc(wch.timeout, wch.check)
+	if wch.maySend() {
+		wch.timer = time.AfterFunc(wch.timeout, wch.check)
+	}
 	return wch
 }
 
-// replacer returns the function by which a stallWatch replaces the backend server called server. It runs beside the attempt, and
-// uses nothing of the run that changes meanwhile.
-func (run *run) replacer(server string) func(begun bool) (placement.Pick, error) {
-	rly, identity, deadline := run.relay, run.identity(), run.deadline
-	request := run.placementRequest()
-	request.Avoid = append(request.Avoid, server)
-	request.MaxUsefulForecast = nil
-	return func(begun bool) (placement.Pick, error) {
-		now := rly.clock.Now()
-		if !begun && rly.deps.BlockedFor(identity, now) > 0 {
-			return placement.Pick{}, errors.New("the request may crash backend servers")
-		}
-		request.StartWithin = deadline.Sub(now)
-		return rly.chooseForRetry(request, now)
-	}
+// maySend reports whether the request may be sent to one more backend server. The caller holds the lock.
+func (wch *stallWatch) maySend() bool {
+	runs := wch.runs + wch.results.runs + len(wch.inProgress)
+	return runs < wch.run.maxAttempts() && wch.sends+wch.results.started < wch.run.maxSends()
 }
 
-// check gives up the response if it is stalled and has a replacement.
+// check looks for a stall.
 func (wch *stallWatch) check() {
 	wch.mu.Lock()
 	defer wch.mu.Unlock()
-	if wch.ended {
+	if wch.ended || wch.replacement != nil {
 		return
 	}
-	now := wch.relay.clock.Now()
-	silence := wch.connectionSilence(now)
-	if wch.sharedStreams {
-		silence = wch.serverSilence(now)
-	}
-	if left := wch.timeout - silence; left > 0 || wch.delivering {
+	now := wch.run.relay.clock.Now()
+	if left := wch.timeout - wch.silence(now); left > 0 || wch.delivering {
 		wch.timer.Reset(max(left, stallCheckInterval))
 		return
 	}
-	pick, err := wch.replace(wch.begun)
+	wch.onStall(now)
+}
+
+// sendElsewhere sends a stalled request to one more backend server, if it may. The caller holds the lock.
+func (wch *stallWatch) sendElsewhere(now time.Time) {
+	if !wch.maySend() {
+		return
+	}
+	wch.timer.Reset(stallCheckInterval)
+	pick, err := wch.choose(now)
 	if err != nil {
-		wch.waitOn(silence, err)
+		wch.waitOn(now, err)
+		return
+	}
+	wch.reportStall(now)
+	wch.results.started++
+	snd := wch.run.newSend(wch.ctx, pick, wch.sends+wch.results.started)
+	wch.inProgress = append(wch.inProgress, snd)
+	wch.run.relay.requestMetrics.retries.Inc(1)
+	go wch.begin(snd)
+}
+
+// choose returns the choice of another backend server, to which the request may be sent once more.
+func (wch *stallWatch) choose(now time.Time) (placement.Pick, error) {
+	rly := wch.run.relay
+	if !wch.begun && rly.deps.BlockedFor(wch.run.identity(), now) > 0 {
+		return placement.Pick{}, errors.New("the request may crash backend servers")
+	}
+	request := wch.request
+	request.StartWithin = wch.run.deadline.Sub(now)
+	request.Avoid = slices.Concat(request.Avoid, wch.results.failed, wch.results.declining, []string{wch.send.pick.Server.ID})
+	for _, snd := range wch.inProgress {
+		request.Avoid = append(request.Avoid, snd.pick.Server.ID)
+	}
+	return rly.chooseForRetry(request, now)
+}
+
+// reportStall records the stall of the watched response, once. The caller holds the lock.
+func (wch *stallWatch) reportStall(now time.Time) {
+	if wch.reported {
 		return
 	}
-	wch.replacement = &pick
-	wch.cancel()
+	wch.reported = true
+	rly, srv := wch.run.relay, wch.send.pick.Server
+	rly.logger.Info("sending a stalled request to another backend server, too", zap.String("request", wch.run.requestHeaders.RequestID),
+		zap.String("server", srv.ID), zap.Bool("begun", wch.begun),
+		zap.Duration("connectionSilentFor", now.Sub(wch.lastProgress)), zap.Duration("serverSilentFor", wch.silence(now)))
+	rly.deps.SuspectPath(srv.Address)
+	if wch.sharedStreams {
+		rly.outliers.Eject(srv.ID, now)
+	} else {
+		// For a plain service, one lost response says nothing about other requests to the server.
+		rly.outliers.RecordFailure(srv.ID, now)
+	}
 }
 
-// waitOn lets a stalled response go on that cannot be replaced yet because of cause. The caller holds the lock.
-func (wch *stallWatch) waitOn(silence time.Duration, cause error) {
-	if !wch.waiting {
-		wch.waiting = true
-		wch.relay.requestMetrics.stalledWaiting.Inc(1)
-		wch.relay.logger.Info("waiting on for a response without progress, which cannot be replaced", zap.String("request", wch.request),
-			zap.String("server", wch.server.ID), zap.Bool("begun", wch.begun), zap.Duration("silentFor", silence), logging.Error(cause))
-		// If the path is what failed, another one can be found.
-		wch.relay.deps.SuspectPath(wch.server.Address)
+// waitOn waits on for a stalled response that cannot be replaced yet because of cause. The caller holds the lock.
+func (wch *stallWatch) waitOn(now time.Time, cause error) {
+	// Backend servers that were at capacity may accept requests again.
+	wch.results.declining = nil
+	if wch.waiting {
+		return
+	}
+	wch.waiting = true
+	rly, srv := wch.run.relay, wch.send.pick.Server
+	rly.requestMetrics.stalledWaiting.Inc(1)
+	rly.logger.Info("waiting on for a response without progress, which cannot be replaced", zap.String("request", wch.run.requestHeaders.RequestID),
+		zap.String("server", srv.ID), zap.Bool("begun", wch.begun), zap.Duration("silentFor", wch.silence(now)), logging.Error(cause))
+	// If the path is what failed, another one can be found.
+	rly.deps.SuspectPath(srv.Address)
+}
+
+// begin begins a send that may replace the watched one, and closes it if it does not.
+func (wch *stallWatch) begin(snd *send) {
+	out, err := snd.begin()
+	if wch.settle(snd, out, err) {
+		return
+	}
+	snd.close()
+}
+
+// settle records what became of a send that may replace the watched one. It reports whether it does.
+func (wch *stallWatch) settle(snd *send, out outcome, err error) bool {
+	wch.mu.Lock()
+	defer wch.mu.Unlock()
+	defer wch.settled.Broadcast()
+	wch.inProgress = slices.DeleteFunc(wch.inProgress, func(other *send) bool { return other == snd })
+	if snd.arrived {
+		wch.results.arrivals++
+	}
+	if snd.mayHaveRun {
+		wch.results.runs++
 	}
+	if err == nil && len(snd.part) == 0 && snd.response.CloseDelimited() {
+		// A server that breaks off ends the connection, too.
+		out, err = unknown, errors.New("the connection ended without a part of the response")
+	}
+	switch {
+	case wch.ended || snd.ctx.Err() != nil:
+		return false
+	case err == nil:
+		wch.replaceBy(snd)
+		return true
+	case out == notRun:
+		wch.results.declining = append(wch.results.declining, snd.pick.Server.ID)
+	default:
+		wch.results.failed = append(wch.results.failed, snd.pick.Server.ID)
+	}
+	if snd.serverError != nil {
+		wch.results.serverError = snd.serverError
+	}
+	wch.run.logFailedSend(snd, out, err, snd.resumesStream, snd.lastEventID)
 	wch.timer.Reset(stallCheckInterval)
+	return false
+}
+
+// replaceBy gives the watched response up for that of snd. The caller holds the lock.
+func (wch *stallWatch) replaceBy(snd *send) {
+	wch.replacement = snd
+	wch.cancelInProgress()
+	if wch.failed {
+		return
+	}
+	rly, now := wch.run.relay, wch.run.relay.clock.Now()
+	wch.givenUp = true
+	rly.requestMetrics.stalledStreams.Inc(1)
+	rly.logger.Info("gave up a response without progress", zap.String("request", wch.run.requestHeaders.RequestID),
+		zap.String("server", wch.send.pick.Server.ID), zap.String("for", snd.pick.Server.ID), zap.Bool("firstEventSent", snd.resumesStream),
+		zap.Duration("silentFor", now.Sub(wch.lastProgress)))
+	wch.send.cancel()
 }
 
-// recordProgress records that bytes of the response arrived at now.
-func (wch *stallWatch) recordProgress(now time.Time) {
-	wch.relay.outliers.RecordProgress(wch.server.ID, now)
+func (wch *stallWatch) cancelInProgress() {
+	for _, snd := range wch.inProgress {
+		snd.cancel()
+	}
+}
+
+// recordProgress records that bytes of the response arrived at now. It reports whether they are for the caller: they are not if the
+// response has been given up.
+func (wch *stallWatch) recordProgress(now time.Time) bool {
 	wch.mu.Lock()
 	defer wch.mu.Unlock()
+	if wch.replacement != nil {
+		return false
+	}
 	wch.lastProgress = now
 	wch.begun = true
+	wch.reported = false
+	wch.cancelInProgress()
+	return true
 }
 
 // deliver calls write, which may wait for a slow caller. That time does not count as silence.
@@ -168,46 +310,85 @@
 	wch.mu.Lock()
 	defer wch.mu.Unlock()
 	wch.delivering = on
-	wch.lastProgress = wch.relay.clock.Now()
+	wch.lastProgress = wch.run.relay.clock.Now()
 }
 
-// connectionSilence returns the time since the last progress of the watched response. The caller holds the lock.
-func (wch *stallWatch) connectionSilence(now time.Time) time.Duration {
-	return now.Sub(wch.lastProgress)
+// silence returns the time since the last progress of the watched response, or of a send beside it if that is later. The caller holds
+// the lock.
+func (wch *stallWatch) silence(now time.Time) time.Duration {
+	silence := time.Duration(math.MaxInt64)
+	if !wch.failed {
+		silence = wch.silenceOf(wch.send, wch.lastProgress, now)
+	}
+	for _, snd := range wch.inProgress {
+		silence = min(silence, wch.silenceOf(snd, snd.sentAt, now))
+	}
+	return silence
 }
 
-// serverSilence returns the time since the last progress of the backend server on any connection of this daemon, or of the watched
-// response if it had none. The caller holds the lock.
-func (wch *stallWatch) serverSilence(now time.Time) time.Duration {
-	silence := wch.connectionSilence(now)
-	if last := wch.relay.outliers.LastProgress(wch.server.ID); !last.IsZero() {
+// silenceOf returns the time since the last progress of a send, or of its backend server on any connection of this daemon if streams
+// are shared.
+func (wch *stallWatch) silenceOf(snd *send, last, now time.Time) time.Duration {
+	silence := now.Sub(last)
+	if !wch.sharedStreams {
+		return silence
+	}
+	if last := wch.run.relay.outliers.LastProgress(snd.pick.Server.ID); !last.IsZero() {
 		silence = min(silence, now.Sub(last))
 	}
 	return silence
 }
 
-// silences returns connectionSilence and serverSilence.
-func (wch *stallWatch) silences(now time.Time) (connection, server time.Duration) {
-	wch.mu.Lock()
-	defer wch.mu.Unlock()
-	return wch.connectionSilence(now), wch.serverSilence(now)
-}
-
 // gaveUp reports whether the response was given up for a replacement.
 func (wch *stallWatch) gaveUp() bool {
 	wch.mu.Lock()
 	defer wch.mu.Unlock()
-	return wch.replacement != nil
+	return wch.givenUp
 }
 
-// stop ends the watch, since the response is complete, broken, or nothing can replace it any more. It returns the replacement for which
-// the response was given up before, nil if it was not. It may be called again.
-func (wch *stallWatch) stop() *placement.Pick {
+// stop ends the watch, since the response is complete or nothing can replace it any more. It reports whether the response had not been
+// given up before.
+func (wch *stallWatch) stop() bool {
 	wch.mu.Lock()
 	defer wch.mu.Unlock()
+	wch.end()
+	return wch.replacement == nil
+}
+
+// end ends the watch and the sends in progress. The caller holds the lock.
+func (wch *stallWatch) end() {
 	wch.ended = true
 	if wch.timer != nil {
 		wch.timer.Stop()
 	}
-	return wch.replacement
+	wch.cancelInProgress()
+}
+
+// await waits, after the watched send has failed, until one of the sends beside it has begun or all have failed. It returns the one
+// that has begun, which the caller must close, and what became of the others.
+func (wch *stallWatch) await() (*send, replacements) {
+	wch.mu.Lock()
+	defer wch.mu.Unlock()
+	wch.failed = true
+	for wch.replacement == nil && len(wch.inProgress) > 0 {
+		wch.settled.Wait()
+	}
+	wch.end()
+	snd, rst := wch.replacement, wch.results
+	wch.replacement = nil
+	// Those that are being cancelled may run.
+	rst.arrivals += len(wch.inProgress)
+	rst.runs += len(wch.inProgress)
+	return snd, rst
+}
+
+// abandon ends the watch and closes a replacement that await has not returned. It may be called again.
+func (wch *stallWatch) abandon() {
+	wch.mu.Lock()
+	defer wch.mu.Unlock()
+	wch.end()
+	if wch.replacement != nil {
+		wch.replacement.close()
+		wch.replacement = nil
+	}
 }
--- a/internal/relay/stall_internal_test.go
+++ b/internal/relay/stall_internal_test.go
@@ -34,26 +34,34 @@
 	} {
 		tst.Run(cas.name, func(tst *testing.T) {
 			clk := steppedclock.New()
+			stalled := false
+			outliers := outlier.New()
 			wch := &stallWatch{
-				relay: &Relay{
-					outliers: outlier.New(),
-					clock:    clk,
+				run: &run{
+					relay: &Relay{
+						outliers: outliers,
+						clock:    clk,
+					},
 				},
-				server: &serverregistry.Server{
-					ID: "vm-1",
+				send: &send{
+					pick: placement.Pick{
+						Server: &serverregistry.Server{
+							ID: "vm-1",
+						},
+					},
 				},
-				replace:       func(bool) (placement.Pick, error) { return placement.Pick{}, nil },
+				onStall:       func(time.Time) { stalled = true },
 				sharedStreams: true,
 				timeout:       time.Second,
 				timer:         time.NewTimer(time.Hour),
-				cancel:        func() {},
 			}
 			defer wch.stop()
 			wch.recordProgress(clk.Now())
+			outliers.RecordProgress("vm-1", clk.Now())
 			clk.Step(cas.step)
 			clk.Advance(cas.silence)
 			wch.check()
-			qt.Assert(tst, wch.gaveUp(), qt.Equals, cas.stalled)
+			qt.Assert(tst, stalled, qt.Equals, cas.stalled)
 		})
 	}
 }
