Give a backend server time to see that its connection was closed

TestSilentAnswerMovesOnceItHasAReplacement counted the closed connections of the silent server as soon as the caller had its response. The connection is closed when the replacement has begun to answer, at the same moment as the response is forwarded, so that the count was read too early in one run of three with the race detector.

--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -100,6 +100,7 @@
 			qt.Check(tst, status, qt.Equals, http.StatusOK)
 			qt.Check(tst, body == "answer" || body == firstEvent+secondEvent, qt.IsTrue, qt.Commentf("%q", body))
 			qt.Check(tst, time.Since(start) >= silence, qt.IsTrue)
+			time.Sleep(settled)
 			qt.Check(tst, givenUp.Load(), qt.Equals, int32(1))
 			qt.Check(tst, fix.retriesLeft, qt.Equals, 0)
 			qt.Check(tst, fix.inFlight.Load(), qt.Equals, int32(0))
