--- a/internal/site/storecache_test.go
+++ b/internal/site/storecache_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jonboulle/clockwork"
+	metrics "github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/hub"
@@ -18,9 +19,11 @@
 	"github.com/cumintally/cumintally/internal/lease"
 	"github.com/cumintally/cumintally/internal/objects"
 	"github.com/cumintally/cumintally/internal/outlier"
+	"github.com/cumintally/cumintally/internal/serverregistry"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/sitecontrol"
 	"github.com/cumintally/cumintally/platform"
+	"github.com/cumintally/cumintally/platform/standin"
 )
 
 // staleStore answers stale lists with an older revision, and blocks the first watch of each kind until watches is
@@ -256,6 +259,38 @@
 	eventually(tst, func() bool { return lists.Load() > before })
 }
 
+// Guards against a backend server that drains and counts as ready again, because the store was restored from a copy right after
+// the daemon had read that it drains.
+func TestDrainIsKeptIfStoreIsRestoredAtOnce(tst *testing.T) {
+	sto := standin.NewStore()
+	tst.Cleanup(sto.Close)
+	put := func(state string) {
+		sto.Put(platform.KindServer, "job-0", map[string]any{
+			"service": "jobs", "address": "127.0.0.1:1", "zone": "a", "state": state, "slots": 1, "born": 1,
+		})
+	}
+	put("ready")
+	set := &settings.Settings{}
+	set.Platform.Address = sto.Address()
+	set.Platform.Timeout = time.Second
+	stc := startStoreCacheOn(tst, "entry-00", newStore(set, metrics.NewRegistry(), zap.NewNop()))
+	server := func() serverregistry.Server {
+		if srv, ok := stc.registry.View().Server("job-0"); ok {
+			return *srv
+		}
+		return serverregistry.Server{}
+	}
+	eventually(tst, func() bool { return server().ID != "" && !server().Draining })
+	before := sto.Copy()
+	put("draining")
+	eventually(tst, func() bool { return server().Draining })
+	sto.Restore(before)
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		qt.Assert(tst, server().Draining, qt.IsTrue)
+	}
+	qt.Assert(tst, objects.EraOf(server().Version), qt.Equals, uint64(1), qt.Commentf("the restored entry was not read"))
+}
+
 func eventually(tst *testing.T, condition func() bool) {
 	tst.Helper()
 	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
