--- a/internal/relay/replacement_test.go
+++ b/internal/relay/replacement_test.go
@@ -60,5 +60,33 @@
 	}
 }
 
+// Guards against a stalled response that waits for the next check once a replacement has declined, and against retries that are spent
+// on servers that were not reached.
+func TestNextReplacementIsTriedAtOnce(tst *testing.T) {
+	server, _ := pausing(tst, time.Minute, silentAnswers["stream between two events"]...)
+	other, _ := pausing(tst, 0, openHead+firstEvent+secondEvent)
+	declining := answering(tst, http.StatusServiceUnavailable)
+	fix := &fixture{
+		tst:         tst,
+		addresses:   []string{server, unreachable(tst), declining, declining, other},
+		retriesLeft: 3,
+		attempts:    3,
+	}
+	start := time.Now()
+	status, body, err := fix.fetch()
+	qt.Check(tst, err, qt.IsNil)
+	qt.Check(tst, status, qt.Equals, http.StatusOK)
+	qt.Check(tst, body, qt.Equals, firstEvent+secondEvent)
+	qt.Check(tst, fix.retriesLeft, qt.Equals, 0)
+	took := time.Since(start)
+	qt.Check(tst, took < stallAfter+2*stallInterval, qt.IsTrue, qt.Commentf("%v", took))
+}
+
+// stallAfter is the time after which a call counts as stalled, and stallInterval the time between two checks of it.
+const (
+	stallAfter    = 600 * time.Millisecond
+	stallInterval = 150 * time.Millisecond
+)
+
 // settled is longer than a request that is no longer wanted takes to end.
 const settled = 100 * time.Millisecond
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -49,9 +49,9 @@
 	arrived    bool
 	mayHaveRun bool
 
-	// response is set once its headers are read, and begun once a part for the caller is. For an event stream, part is the latest event and events reads the rest; otherwise part
-	// is the whole body, or its beginning if tooLarge is set. ended is set if there is nothing after part, and finished once the
-	// connection has been given back.
+	// response is set once its headers are read, and begun once a part for the caller is. For an event stream, part is the latest event
+	// and events reads the rest; otherwise part is the whole body, or its beginning if tooLarge is set. ended is set if there is nothing
+	// after part, and finished once the connection has been given back.
 	response *upstream.Response
 	begun    bool
 	finished bool
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -235,6 +235,8 @@
 	wch.inProgress = slices.DeleteFunc(wch.inProgress, func(other *send) bool { return other == snd })
 	if snd.arrived {
 		wch.results.arrivals++
+	} else {
+		wch.run.relay.deps.ReturnRetry(wch.run.service.Name, wch.run.relay.clock.Now())
 	}
 	if snd.mayHaveRun {
 		wch.results.runs++
@@ -258,7 +260,8 @@
 		wch.results.serverError = snd.serverError
 	}
 	wch.run.logFailedSend(snd, out, err, snd.resumesStream, snd.lastEventID)
-	wch.timer.Reset(stallCheckInterval)
+	// The next server is tried at once.
+	wch.timer.Reset(0)
 	return false
 }
 
