End the response of a caller that is gone so that it looks incomplete

What callers saw: a caller that closes its sending side after the request (a half close) and waits for the response got "200 OK" with an empty body, or a stream that ended as if it were complete, while the backend server was at work on the request.

Cause: net/http reports the end of the caller's input as the end of the request's context. The relay takes the caller for gone then, cancels the send and returned from the handler. At a return, net/http completes the response: with status 200 if there is none yet, and with the last chunk otherwise. A connection that is closed in both directions looks the same, so that the request has to be ended (GONE); but its end must not look like a response.

Change: the relay aborts the connection, as it does for a response that is cut.

--- a/internal/relay/buffered.go
+++ b/internal/relay/buffered.go
@@ -88,7 +88,7 @@
 	run.writer.Header().Set("Content-Length", strconv.Itoa(len(rsp.body)))
 	run.writer.WriteHeader(rsp.status)
 	if _, err := run.writer.Write(rsp.body); err != nil {
-		run.recordDisconnect(err)
+		run.endDisconnected(err)
 		return
 	}
 	run.recordCompletion(rsp.server, rsp.status)
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -23,11 +23,11 @@
 }
 
 // fail ends a request that is not retried; cause is the reason. It sends the final response, aborts a response that has
-// begun, or only records that the caller has disconnected.
+// begun, or only closes the connection if the caller has disconnected.
 func (run *run) fail(ctx context.Context, cause error) {
 	switch {
 	case run.request.Context().Err() != nil:
-		run.recordDisconnect(run.request.Context().Err())
+		run.endDisconnected(run.request.Context().Err())
 	case run.committed:
 		run.abortResponse(cause)
 	case run.serverError != nil:
@@ -74,7 +74,7 @@
 	hdr.Set("Content-Length", strconv.Itoa(len(body)))
 	run.writer.WriteHeader(ref.Status)
 	if _, err := run.writer.Write(body); err != nil {
-		run.recordDisconnect(err)
+		run.endDisconnected(err)
 	}
 }
 
@@ -86,10 +86,12 @@
 	panic(http.ErrAbortHandler)
 }
 
-// recordDisconnect records that the caller closed its connection.
-func (run *run) recordDisconnect(cause error) {
+// endDisconnected records that the caller closed its connection, and closes it. Like abortResponse, it does not return: a caller that
+// closed only its sending side would take what net/http sends at a return for the whole response.
+func (run *run) endDisconnected(cause error) {
 	run.relay.requestMetrics.callerDisconnects.Inc(1)
 	run.logEnd(zap.String("by", "caller"), zap.String("outcome", "CallerGone"), logging.Error(cause))
+	panic(http.ErrAbortHandler)
 }
 
 // recordCompletion records a complete response.
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -34,7 +34,7 @@
 				return unknown, errGivenUp
 			}
 			if err := watch.deliver(func() error { return run.forwardEvent(snd.response.Header, snd.part) }); err != nil {
-				run.recordDisconnect(err)
+				run.endDisconnected(err)
 				return answered, nil
 			}
 		}
