Count the drain timeout of a group from its latest draining

What callers saw: streams of a group were aborted at once when the group was closed for a planned change, and cut if the retry budget had nothing left to resume them.

Cause: a group that drains may complete its requests for 6 s from the first order to close it; then it is closed without waiting. The time of that first order was kept when the change was withdrawn and the group opened again under the same epoch, for up to two minutes. If the group had to drain once more after 6 s, for a version of the configuration or for other demand, the first order already said to abort its requests.

Change: the time is forgotten once the group is not to drain.

Evidence: TestEachDrainingOfAGroupHasItsOwnTime failed before.

--- a/internal/orderplan/planner.go
+++ b/internal/orderplan/planner.go
@@ -190,6 +190,7 @@
 		}
 		return
 	}
+	delete(bld.pln.closingSince, target)
 	ready := 0
 	for rnk, mem := range grp.Members {
 		srv, ok := bld.viw.Registrations.Server(mem.VM)
--- a/internal/orderplan/planner_test.go
+++ b/internal/orderplan/planner_test.go
@@ -224,6 +224,30 @@
 	qt.Assert(tst, ords[0].Finish, qt.IsFalse)
 }
 
+// Guards against a planned change that aborts requests at once since the head had been closing for an earlier change, which was withdrawn.
+func TestEachDrainingOfAGroupHasItsOwnTime(tst *testing.T) {
+	har := newHarness()
+	har.allocate("g", 5, "a", "b")
+	har.report("a", "g", 5, 0, serverregistry.Open)
+	har.report("b", "g", 5, 1, serverregistry.Ready)
+	next := func(draining bool) []orderplan.Order {
+		har.alc.Groups[0].Draining = draining
+		return har.pln.NextOrders(orderplan.View{
+			Service:       service,
+			Registrations: har.reg.View(),
+			Allocations:   []group.Allocation{har.alc},
+		}, har.now)
+	}
+	qt.Assert(tst, next(true), qt.HasLen, 1)
+	har.now = har.now.Add(time.Second)
+	qt.Assert(tst, next(false), qt.HasLen, 0)
+	har.now = har.now.Add(time.Minute)
+	ords := next(true)
+	qt.Assert(tst, ords, qt.HasLen, 1)
+	qt.Assert(tst, ords[0].Verb, qt.Equals, orderplan.Close)
+	qt.Assert(tst, ords[0].Finish, qt.IsTrue)
+}
+
 // Guards against spares without weights: each one holds a model in memory, in a standby group that is never opened.
 func TestSparesHoldWeights(tst *testing.T) {
 	har := newHarness()
