Let the owner of a stream keep it until another daemon reads it

What callers saw: a stream that was resumed at a daemon which reaches neither its owner nor its engine for a moment ended with an unknown outcome, and so did the next attempts, although the owner still read it.

Cause: the daemon told the owner to let go of the stream before it had opened the stream at the engine itself.

Change: the owner is told once the engine has accepted the resumed stream, both for a caller that resumes and for a forwarded request. A paused owner is told as before.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -91,9 +91,6 @@
 	if pos.sequence < 0 {
 		return errors.Annotate(errReplica, "the entry VM of the other zone was lost")
 	}
-	notify, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go run.dispatcher.notifyOwner(notify, pos.token)
 	err = run.dispatcher.readEngine(ctx, pos, run.eventHistory)
 	var ref *refusal.Refusal
 	if errors.As(err, &ref) {
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -77,12 +77,7 @@
 	if !dsp.register(run) {
 		return nil, refusal.UnknownOutcome("this entry VM is stopping; resume at another", retryAfter)
 	}
-	run.launch(deadline, func(ctx context.Context) error {
-		if pos.token.Owner != dsp.config.Self {
-			go dsp.notifyOwner(ctx, pos.token)
-		}
-		return dsp.readEngine(ctx, pos, run.eventHistory)
-	})
+	run.launch(deadline, func(ctx context.Context) error { return dsp.readEngine(ctx, pos, run.eventHistory) })
 	return run, nil
 }
 
@@ -95,6 +90,12 @@
 	if err != nil {
 		return refusal.UnknownOutcome("the stream is no longer held; ask again", retryAfter)
 	}
+	// The owner lets go of the stream only now: it may reach the engine while this daemon does not.
+	if pos.token.Owner != dsp.config.Self {
+		notify, cancel := context.WithCancel(ctx)
+		defer cancel()
+		go dsp.notifyOwner(notify, pos.token)
+	}
 	err = dsp.relayFrames(ctx, frameRelay{
 		token:        tok,
 		stream:       str,
