Keep a stalled stream until another replica continues its text

What callers saw: a stream of a model, or a request that is not streamed, ended with an unknown outcome although its engine went on a moment later.

With no retry left, no other group, another zone or group that declines, breaks off or is silent, nothing was left to return to.

Change: if the members of the group still run, as they or other daemons report, the stream is resumed. If it sends nothing for a second or cannot be resumed, the request is sent to another replica beside it. Whichever sends a frame first is taken and the other is cancelled; a frame that comes later is not forwarded. If no replica takes the request, the held stream is waited for. A replica that has crashed is given up at once, as before, and so is the stream of a request that is suspected of crashes, so that no two of these run at once. The slot of the held stream stays in use until it ends at the engine, as for any stream that is left; a resumed stream no longer counts as progress of another send of its request.

TestReplacedStreamIsCancelledOnce passed before and passes. test/requests and test/groups pass with the race detector.

Cost: a stream that does not go on at an engine that runs is sent elsewhere up to a second later than before.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -47,11 +47,17 @@
 	req.Crashes = run.crashes
 	received := false
 	receive := func(evt Event) error {
+		if !run.overtakeHeld() {
+			return errors.Trace(errOvertaken)
+		}
 		received = true
 		run.eventHistory.add(evt)
 		return nil
 	}
 	err := run.dispatcher.deps.Forward(ctx, adr, req, receive)
+	if errors.Is(err, errOvertaken) {
+		run.abandonRemote(adr)
+	}
 	if !errors.Is(err, ErrConnectionLost) {
 		return errors.Trace(err)
 	}
--- a/internal/dispatch/frames.go
+++ b/internal/dispatch/frames.go
@@ -28,15 +28,32 @@
 	stream  *backend.Stream
 	group   group.Group
 	history *history
-	// nextSequence is the sequence number of the first frame to transfer.
+	// nextSequence is the sequence number of the next frame to transfer.
 	nextSequence int
+	// incarnations are those of the engines of the group when the stream was opened.
+	incarnations map[string]uint64
+	// first is a frame that was read from the stream before, nil if none was.
+	first *backend.Frame
+	// begin is called before each frame, and returns false if the frame is not for the caller any more. It may be nil.
+	begin func() bool
+}
+
+func (rly *frameRelay) next() (backend.Frame, error) {
+	if frm := rly.first; frm != nil {
+		rly.first = nil
+		return *frm, nil
+	}
+	return rly.stream.Next()
 }
 
 // relayFrames copies frames into the history and reopens the stream when it breaks, as long as that makes progress.
-func (dsp *Dispatcher) relayFrames(ctx context.Context, rly frameRelay) error {
+func (dsp *Dispatcher) relayFrames(ctx context.Context, rly *frameRelay) error {
 	text := rly.token.Encode(dsp.config.TokenKey)
 	asm := stream.New(rly.token.RequestID, rly.token.Attempt, rly.nextSequence)
-	defer func() { dsp.requestCounters.countDropped(asm.Drops()) }()
+	defer func() {
+		rly.nextSequence = asm.Next()
+		dsp.requestCounters.countDropped(asm.Drops())
+	}()
 	for resumes := 0; resumes <= maxResumes; resumes++ {
 		before := asm.Next()
 		err := dsp.copyFrames(ctx, rly, asm, text)
@@ -48,6 +65,10 @@
 			dsp.cancelUnlessAdopted(ctx, rly.token)
 			return errors.Trace(ctx.Err())
 		}
+		if errors.Is(err, errOvertaken) {
+			dsp.cancelStream(rly.token)
+			return err
+		}
 		if dsp.lacksFreshReport(rly.group) {
 			return errors.Annotate(errReplica, "a member has no fresh report")
 		}
@@ -65,13 +86,13 @@
 }
 
 // copyFrames reads frames until the last one. It closes a stalled stream whose group lacks a fresh report.
-func (dsp *Dispatcher) copyFrames(ctx context.Context, rly frameRelay, asm *stream.Assembler, token string) error {
+func (dsp *Dispatcher) copyFrames(ctx context.Context, rly *frameRelay, asm *stream.Assembler, token string) error {
 	progress := make(chan struct{}, 1)
 	done := make(chan struct{})
 	defer close(done)
-	go dsp.watchStall(rly, progress, done)
+	go dsp.watchStall(rly.stream, rly.group, progress, done)
 	for {
-		frm, err := rly.stream.Next()
+		frm, err := rly.next()
 		if err != nil {
 			return errors.Annotate(errReplica, err.Error())
 		}
@@ -86,6 +107,9 @@
 		if !ok {
 			continue
 		}
+		if rly.begin != nil && !rly.begin() {
+			return errors.Trace(errOvertaken)
+		}
 		rly.history.add(Event{
 			Token:    token,
 			Attempt:  frm.Attempt,
@@ -102,7 +126,7 @@
 	}
 }
 
-func (dsp *Dispatcher) watchStall(rly frameRelay, progress, done <-chan struct{}) {
+func (dsp *Dispatcher) watchStall(str *backend.Stream, grp group.Group, progress, done <-chan struct{}) {
 	last := dsp.clock.Now()
 	for {
 		select {
@@ -111,8 +135,8 @@
 		case <-progress:
 			last = dsp.clock.Now()
 		case <-dsp.clock.After(stallCheckInterval):
-			if dsp.clock.Since(last) > stallTimeout && dsp.lacksFreshReport(rly.group) {
-				rly.stream.Close()
+			if dsp.clock.Since(last) > stallTimeout && dsp.lacksFreshReport(grp) {
+				str.Close()
 				return
 			}
 		}
--- a/internal/dispatch/resume.go
+++ b/internal/dispatch/resume.go
@@ -96,7 +96,7 @@
 		defer cancel()
 		go dsp.notifyOwner(notify, pos.token)
 	}
-	err = dsp.relayFrames(ctx, frameRelay{
+	err = dsp.relayFrames(ctx, &frameRelay{
 		token:        tok,
 		stream:       str,
 		history:      his,
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -58,6 +58,10 @@
 	cancel             context.CancelCauseFunc
 
 	attempt int
+	// sends counts the sends to replicas that failed or that the held stream overtook.
+	sends int
+	// held is a stream that is kept until another replica continues its text, nil if there is none.
+	held *heldStream
 	// failedGroups maps the name of each group that failed the request to its fencing token at that time.
 	failedGroups map[string]uint64
 	// mayHaveRun means that a backend server may have run the request.
@@ -129,31 +133,34 @@
 	return refusal.Unavailable(detail, retryAfter)
 }
 
-// generate sends the request to replicas until one completes it.
+// generate sends the request to replicas until one completes it, and returns to a stream that goes on before.
 func (run *run) generate(ctx context.Context) error {
-	unsent := 0
-	for sends := 0; sends < maxAttempts; {
-		if err := run.checkQuarantine(); err != nil {
+	defer func() { run.dropHeld(ctx) }()
+	for {
+		err := run.sendToReplicas(ctx)
+		if run.held == nil {
 			return err
 		}
-		cand, release, err := run.admit(ctx)
-		if errors.Is(err, errNoGroup) {
-			if err = run.continueElsewhere(ctx); err == nil || !errors.Is(err, errReplica) {
-				return errors.Trace(err)
+		if !run.held.waitForFrame(ctx) {
+			if ctx.Err() != nil {
+				return errors.Trace(ctx.Err())
 			}
-			sends++
-			continue
+			return err
 		}
-		if errors.Is(err, errNotSent) && unsent < maxUnsentSends {
-			unsent++
-			continue
+		if err = run.returnToHeld(ctx); !errors.Is(err, errReplica) {
+			return err
 		}
-		if err != nil {
-			return errors.Trace(err)
+	}
+}
+
+// sendToReplicas sends the request to replicas until one completes it, the held stream goes on, or no other can take it.
+func (run *run) sendToReplicas(ctx context.Context) error {
+	unsent := 0
+	for run.sends < maxAttempts {
+		if run.held != nil && run.held.hasMoved() {
+			return errors.Trace(errOvertaken)
 		}
-		before := run.attempt
-		err = run.send(ctx, cand)
-		release()
+		err := run.sendOnce(ctx)
 		if errors.Is(err, errNotSent) && unsent < maxUnsentSends {
 			unsent++
 			continue
@@ -161,20 +168,45 @@
 		if err == nil || !errors.Is(err, errReplica) {
 			return errors.Trace(err)
 		}
-		run.dispatcher.logger.Warn("replica failed while running a request",
-			zap.String("request", run.requestID),
-			zap.String("group", cand.Group.Name),
-			zap.Int("attempt", before),
-			zap.Error(err),
-		)
-		run.failedGroups[cand.Group.Name] = cand.Group.Fencing
-		if run.attempt != before {
-			sends++
-		}
 	}
 	return run.reject("the request failed on several replicas")
 }
 
+// sendOnce sends the request to one replica, of another zone if this one has none, unless the held stream goes on before.
+func (run *run) sendOnce(ctx context.Context) error {
+	ctx, cancel := run.untilHeldMoves(ctx)
+	defer cancel()
+	if err := run.checkQuarantine(); err != nil {
+		return err
+	}
+	cand, release, err := run.admit(ctx)
+	if errors.Is(err, errNoGroup) {
+		err = run.continueElsewhere(ctx)
+		run.sends++
+		return err
+	}
+	if err != nil {
+		return err
+	}
+	before := run.attempt
+	err = run.send(ctx, cand)
+	release()
+	if run.attempt != before || ctx.Err() != nil {
+		run.sends++
+	}
+	if !errors.Is(err, errReplica) {
+		return err
+	}
+	run.dispatcher.logger.Warn("replica failed while running a request",
+		zap.String("request", run.requestID),
+		zap.String("group", cand.Group.Name),
+		zap.Int("attempt", before),
+		zap.Error(err),
+	)
+	run.failedGroups[cand.Group.Name] = cand.Group.Fencing
+	return err
+}
+
 // continueElsewhere forwards the request to another zone, or waits for a group if the text has begun.
 func (run *run) continueElsewhere(ctx context.Context) error {
 	if !run.forwarded {
@@ -295,15 +327,35 @@
 	if run.request.Continue+received != "" {
 		dsp.requestCounters.continued.Inc(1)
 	}
-	tok := run.token(lead.Address)
-	err = dsp.relayFrames(ctx, frameRelay{
-		token:   tok,
-		stream:  str,
-		group:   cand.Group,
-		history: run.eventHistory,
+	return run.relay(ctx, &frameRelay{
+		token:        run.token(lead.Address),
+		stream:       str,
+		group:        cand.Group,
+		history:      run.eventHistory,
+		incarnations: incs,
+		begin:        run.overtakeHeld,
 	})
-	if errors.Is(err, errReplica) {
-		run.handleReplicaLoss(ctx, cand.Group, incs)
+}
+
+// relay transfers the frames of a stream. If the stream is lost at a replica that still runs, it is held.
+func (run *run) relay(ctx context.Context, rly *frameRelay) error {
+	err := run.dispatcher.relayFrames(ctx, rly)
+	if !errors.Is(err, errReplica) {
+		return err
+	}
+	mayHold := run.held == nil
+	if !mayHold {
+		run.dispatcher.cancelStream(rly.token)
+	}
+	run.nextIsRetry = true
+	run.attempt++
+	alive := run.checkCrash(ctx, rly.group, rly.incarnations)
+	switch {
+	case !mayHold:
+	case alive && !run.isSuspect():
+		run.hold(ctx, rly)
+	default:
+		run.dispatcher.cancelStream(rly.token)
 	}
 	return err
 }
@@ -357,5 +409,5 @@
 	// The engine may only be unreachable; it must not go on generating a text that another replica continues.
 	run.dispatcher.cancelStream(run.token(grp.Members[0].Address))
 	run.attempt++
-	run.checkCrash(ctx, grp, incs)
+	_ = run.checkCrash(ctx, grp, incs)
 }
--- a/internal/dispatch/suspect.go
+++ b/internal/dispatch/suspect.go
@@ -145,12 +145,12 @@
 	return incs
 }
 
-// checkCrash records and announces a crash unless every member of the group still runs. A member that neither this
-// daemon nor others can reach counts as crashed: a missed crash would cost a group.
-func (run *run) checkCrash(ctx context.Context, grp group.Group, incs map[string]uint64) {
+// checkCrash records and announces a crash unless every member of the group still runs, which it reports. A member that neither
+// this daemon nor others can reach counts as crashed: a missed crash would cost a group.
+func (run *run) checkCrash(ctx context.Context, grp group.Group, incs map[string]uint64) (alive bool) {
 	dsp := run.dispatcher
 	if dsp.alive(ctx, grp, incs) {
-		return
+		return true
 	}
 	crs := quarantine.Crash{
 		Fingerprint: run.fingerprint(),
@@ -165,6 +165,7 @@
 		zap.String("fingerprint", string(crs.Fingerprint)),
 	)
 	dsp.deps.Announce(ctx, crs)
+	return false
 }
 
 // alive reports whether each member still runs with the given incarnation.
--- a/internal/dispatch/unanswered_test.go
+++ b/internal/dispatch/unanswered_test.go
@@ -211,6 +211,17 @@
 				}
 			},
 		},
+		{
+			name: "other zone is silent",
+			replace: func(_ *qt.C, fix *fixture) {
+				fix.dps.OtherZones = func() []string { return []string{"127.0.0.1:3"} }
+				fix.dps.Forward = func(ctx context.Context, _ string, _ dispatch.Request, _ func(dispatch.Event) error) error {
+					<-ctx.Done()
+					return dispatch.ErrConnectionLost
+				}
+				fix.dps.Attach = func(context.Context, string, dispatch.Attachment, func(dispatch.Event) error) error { return nil }
+			},
+		},
 		{
 			name: "other group declines",
 			replace: func(c *qt.C, fix *fixture) {
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -130,13 +130,21 @@
 	return str, nil
 }
 
+// isSentAs reports whether the request was sent to the engine under the given attempt number.
+func (ifr *inFlightRequest) isSentAs(attempt int) bool {
+	ifr.mu.Lock()
+	defer ifr.mu.Unlock()
+	return ifr.sent && ifr.attempt == attempt
+}
+
 // resume reopens a stream whose connection broke.
 func (lms *limits) resume(ctx context.Context, adr, requestID string, attempt, from int) (*backend.Stream, error) {
 	str, err := lms.backend.Resume(ctx, adr, requestID, attempt, from)
 	if err != nil {
 		return nil, err
 	}
-	if ifr := lms.lookupInFlight(requestID); ifr != nil {
+	// A request may be admitted to another group while its earlier stream is resumed.
+	if ifr := lms.lookupInFlight(requestID); ifr != nil && ifr.isSentAs(attempt) {
 		str.OnFrame = func(frm backend.Frame) { lms.recordFrame(ifr, frm) }
 	}
 	return str, nil
