--- a/internal/group/plan_test.go
+++ b/internal/group/plan_test.go
@@ -523,6 +523,31 @@
 	}
 }
 
+// TestPlanKeepsGroupThatCannotBeResized guards against a serving group that is dissolved for one of another size, for which no fabric
+// domain has enough VMs.
+func TestPlanKeepsGroupThatCannotBeResized(tst *testing.T) {
+	for _, vms := range []int{2, 3, 4} {
+		viw := fixedView(map[string]int{"d0": vms}, model("a", 2))
+		applyPlan(&viw)
+		key := Key{FabricDomain: "d0", Group: "a/0"}
+		viw.Serving[key] = true
+		viw.Drained[key] = true
+		viw.Document.Models = []document.Model{model("a", 4)}
+		for range 4 {
+			applyPlan(&viw)
+			for _, rel := range viw.Allocations[0].Released {
+				viw.Reassignable[rel] = true
+			}
+		}
+		size := 2
+		if vms == 4 {
+			size = 4
+		}
+		qt.Assert(tst, placement(viw)["a/0"], qt.HasLen, size, qt.Commentf("%d VMs", vms))
+		qt.Assert(tst, viw.Allocations[0].Groups[0].Draining, qt.IsFalse)
+	}
+}
+
 // TestPlanCounterExceedsReported guards against a domain whose object was created again and whose engines reject every
 // order as stale.
 func TestPlanCounterExceedsReported(tst *testing.T) {
--- a/internal/serverpath/selector_test.go
+++ b/internal/serverpath/selector_test.go
@@ -30,7 +30,9 @@
 	peers  map[string]map[string]bool
 	// hanging holds the peers that do not respond.
 	hanging map[string]bool
-	cut     []string
+	// slow holds the time that a direct connection to a server takes.
+	slow map[string]time.Duration
+	cut  []string
 }
 
 func (ntw *network) setDirect(address string, reached bool) {
@@ -39,7 +41,12 @@
 	ntw.direct[address] = reached
 }
 
-func (ntw *network) dial(_ context.Context, _, address string) (net.Conn, error) {
+func (ntw *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	select {
+	case <-time.After(ntw.slow[address]):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	ntw.mu.Lock()
 	defer ntw.mu.Unlock()
 	if !ntw.direct[address] {
@@ -205,3 +212,40 @@
 		qt.Assert(tst, err, qt.IsNil)
 	}
 }
+
+// Guards against a slow path to a server that is given up for tunnels which do not reach the server.
+func TestSlowPathOutlastsUselessTunnels(tst *testing.T) {
+	for name, hanging := range map[string]bool{
+		"tunnels are refused": false,
+		"tunnels hang":        true,
+	} {
+		tst.Run(name, func(tst *testing.T) {
+			tst.Parallel()
+			ntw := &network{
+				direct: withoutOne(),
+				peers: map[string]map[string]bool{
+					"a": {
+						"one":   true,
+						"three": true,
+					},
+				},
+				hanging: map[string]bool{},
+				slow: map[string]time.Duration{
+					"two": 2 * connectTimeout,
+				},
+			}
+			sel := ntw.selector()
+			sel.Suspect("one")
+			sel.Suspect("two")
+			eventually(tst, func() bool {
+				sel.Suspect("two")
+				return !sel.Reaches("two")
+			})
+			ntw.mu.Lock()
+			ntw.hanging["a"] = hanging
+			ntw.mu.Unlock()
+			_, err := sel.Connect(tst.Context(), "two", 3*connectTimeout)
+			qt.Assert(tst, err, qt.IsNil)
+		})
+	}
+}
--- a/internal/storesync/restore_test.go
+++ b/internal/storesync/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,3 +107,46 @@
 	eventually(tst, func() bool { return !has("lost") })
 	qt.Check(tst, has("kept"), qt.IsTrue)
 }
+
+// Guards against a copy that misses changes after a restore, since its watch was given up for a list that fails.
+func TestWatchGoesOnWhileListsFailAfterRestore(tst *testing.T) {
+	reg := newRegistry()
+	reg.put("first")
+	sto := reg.store()
+	var restored, lists atomic.Int64
+	list, watch := sto.List, sto.Watch
+	sto.List = func(ctx context.Context, kind string) ([]objects.Object, uint64, error) {
+		// The second list is the one right after the restore.
+		if lists.Add(1) > 2 {
+			return nil, 0, objects.ErrUnavailable
+		}
+		objs, rev, err := list(ctx, kind)
+		return objs, objects.VersionIn(uint64(restored.Load()), rev), err
+	}
+	sto.Watch = func(ctx context.Context, kind string, since uint64) ([]objects.Object, uint64, error) {
+		era := uint64(restored.Load())
+		if objects.EraOf(since) != era {
+			return nil, 0, objects.ErrHistoryGone
+		}
+		objs, rev, err := watch(ctx, kind, objects.RevisionOf(since))
+		if restored.Load() != int64(era) {
+			return nil, 0, objects.ErrUnavailable
+		}
+		return objs, objects.VersionIn(era, rev), err
+	}
+	cop := &copied{}
+	fol := storesync.New(storesync.Config{
+		Kind:         kind,
+		BatchDelay:   func() time.Duration { return 0 },
+		FeedsEnabled: func() bool { return false },
+		AllowStale:   func() bool { return false },
+		ExpectsFeed:  func() bool { return false },
+	}, sto, cop.apply, clockwork.NewRealClock(), zap.NewNop())
+	go fol.Run(tst.Context())
+	eventually(tst, func() bool { return cop.version("first") > 0 })
+	restored.Store(1)
+	reg.put("second")
+	eventually(tst, func() bool { return lists.Load() > 2 })
+	reg.put("third")
+	eventually(tst, func() bool { return cop.version("third") > 0 })
+}
