Watch a copy on while the list after a restore fails

A daemon whose lists fail after a restore of the store, as under its rate limit, would miss changes of configuration, registrations and allocations for that long.

Cause: 2.5 s after a restore the watch was given up for a list, and not taken up again until a list had succeeded.

Change: a list that fails is tried again a second later, and the copy is watched until then.

--- a/internal/storesync/follower.go
+++ b/internal/storesync/follower.go
@@ -40,6 +40,8 @@
 	watchResponseTime = 500 * time.Millisecond
 	// rewriteTime is the time after a restore of the store from a copy within which its writers write again what it lost.
 	rewriteTime = 2500 * time.Millisecond
+	// relistRetryInterval is the time after which a list after a restore that failed is tried again.
+	relistRetryInterval = time.Second
 	// maxWatchedAge is the age up to which a copy counts as current while this daemon watches the store by itself: the store
 	// confirms a copy that does not change only when it ends a watch.
 	maxWatchedAge = 4 * time.Second
@@ -115,20 +117,23 @@
 	backoff := minBackoff
 	current := false
 	for ctx.Err() == nil {
-		if fol.relistDue() {
-			current = false
-		} else if fol.awaitFeed(ctx) {
+		relist := fol.relistDue()
+		if !relist && fol.awaitFeed(ctx) {
 			// The feed continued from the revision of this copy.
 			current = true
 			continue
 		}
-		err := fol.fetch(ctx, current)
+		err := fol.fetch(ctx, current && !relist)
 		if err == nil {
 			current = true
 			backoff = minBackoff
 			continue
 		}
 		outage := fol.recordFailure(ctx, err)
+		if relist {
+			// The copy may still be watched until the list succeeds.
+			fol.postponeRelist()
+		}
 		// A watch that was interrupted resumes at its revision, unless that may be too old.
 		current = current && errors.Is(err, objects.ErrUnavailable) && outage <= watchResumeLimit
 		fol.sleep(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
@@ -177,6 +182,12 @@
 	return !fol.relistAt.IsZero() && !fol.clk.Now().Before(fol.relistAt)
 }
 
+func (fol *Follower) postponeRelist() {
+	fol.mu.Lock()
+	defer fol.mu.Unlock()
+	fol.relistAt = fol.clk.Now().Add(relistRetryInterval)
+}
+
 func (fol *Follower) watch(ctx context.Context, since uint64) ([]objects.Object, uint64, error) {
 	fol.mu.Lock()
 	relistAt := fol.relistAt
