Keep a serving group whose new size fits no fabric domain

After a configuration that gives a model more VMs per group than any fabric domain has, all groups of the model would be dissolved, and its requests refused until the next one.

Cause: a group of another size was drained and dissolved before it was known whether one of the new size can be formed. Since a missing group does not count as one that is being changed, the other groups followed.

Change: a group keeps its size and limits while no domain has enough VMs for the new size, counting spare VMs and those of groups of the model that have another size. The status says so.

--- a/internal/group/roll.go
+++ b/internal/group/roll.go
@@ -1,6 +1,11 @@
 package group
 
-import "slices"
+import (
+	"slices"
+	"strconv"
+
+	"github.com/cumintally/cumintally/pkg/document"
+)
 
 // applyPlannedChanges makes the planned changes of groups without lost members. A group is drained before it is
 // changed, so that no request in flight is interrupted; only a group that has stopped working and has no leaving member
@@ -34,6 +39,11 @@
 		if pln.drain(dom, grp) {
 			pln.replaceLeaving(dom, grp, leaving, des)
 		}
+	case len(grp.Members) != des.model.VMsPerGroup && !pln.fits(des.model):
+		pln.unmet[grp.Name] = "no fabric domain has " + strconv.Itoa(des.model.VMsPerGroup) + " VMs for it; its present size is kept"
+		// The limits of the document are those of the other size.
+		dom.changed = dom.changed || grp.Draining
+		grp.Draining = false
 	case len(grp.Members) != des.model.VMsPerGroup:
 		if pln.mayDrain(dom, grp) && pln.drain(dom, grp) {
 			// grp points into the slice that dissolve shortens, so its name is read first.
@@ -53,6 +63,23 @@
 	}
 }
 
+// fits reports whether some domain has enough VMs for a group of a model, counting those of its groups of another size. A group that
+// serves is not dissolved for one that cannot be formed.
+func (pln *planner) fits(model document.Model) bool {
+	for _, dom := range pln.domains {
+		num := len(dom.sparesFor(model.Name)) + dom.delayedSpares()
+		for _, grp := range dom.alc.Groups {
+			if grp.Model == model.Name && len(grp.Members) != model.VMsPerGroup {
+				num += len(dom.ranks(grp, func(vmv VMView) bool { return !vmv.Lost && !vmv.Leaving }))
+			}
+		}
+		if num >= model.VMsPerGroup {
+			return true
+		}
+	}
+	return false
+}
+
 // replaceLeaving replaces members that are leaving, or waits if the domain has enough spare VMs only after a release
 // delay. If it has too few even then, or if the group's size is no longer that of its model, it dissolves the group.
 func (pln *planner) replaceLeaving(dom *domain, grp *Group, rnks []int, des desiredGroup) {
