Connect directly to a server that no tunnel reaches

What callers saw: a request found no connection to a backend server that was slow to accept one, and went to another server or was refused.

Cause: once a direct probe has failed within 120 ms, and another daemon reaches any of the servers that did not respond, all of these count as cut off.

Change: if no tunnel opens, a new direct connection is tried within the time that a direct one has. Kept connections are not used for it, since they may be silent.

The packages serverpath, upstream and relay pass twice with the race detector, TestCutDaemonsServeThroughOthers once.

Cost: a request to a server that is cut off, for which no tunnel opens, fails up to one direct timeout later.

--- a/internal/serverpath/selector.go
+++ b/internal/serverpath/selector.go
@@ -108,8 +108,8 @@
 }
 
 // Connect returns a connection to the server at address. A direct connection must open within timeout, one through another
-// daemon within a multiple of it. Errors are upstream.ErrNotSent, and upstream.ErrPathBroken as well if they say nothing about
-// the server.
+// daemon within a multiple of it. If no tunnel opens to a server that is cut off, it is tried directly: it may only be slow.
+// Errors are upstream.ErrNotSent, and upstream.ErrPathBroken as well if they say nothing about the server.
 func (sel *Selector) Connect(ctx context.Context, address string, timeout time.Duration) (*upstream.Conn, error) {
 	if sel.Reaches(address) {
 		direct, cancel := context.WithTimeout(ctx, timeout)
@@ -129,6 +129,11 @@
 	defer cancel()
 	raw, err := sel.tunnel(through, address)
 	if err != nil {
+		direct, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		if con, derr := sel.pool.Dial(direct, address); derr == nil {
+			return con, nil
+		}
 		err = errors.WithType(errors.Annotatef(err, "connect to %s through other daemons", address), upstream.ErrNotSent)
 		return nil, errors.WithType(err, upstream.ErrPathBroken)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -85,6 +85,11 @@
 	if con, ok := pol.GetIdle(address); ok {
 		return con, nil
 	}
+	return pol.Dial(ctx, address)
+}
+
+// Dial returns a new connection to address. Errors are ErrNotSent.
+func (pol *Pool) Dial(ctx context.Context, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := pol.dial(ctx, "tcp", address)
