Keep a forwarded request until another replica continues its text

What callers saw: when the path between two zones was cut for a moment, requests that another zone ran ended with an unknown outcome, although they still ran there.

Change: the request is held at that daemon as a stalled stream is at its engine: it is resumed there for up to 3 s while another replica is looked for, whichever goes on first is taken, and it is abandoned only then. It is not forwarded to the same daemon again meanwhile, since a daemon has one run under the ID of a request.

What remains: a cut of more than 3 s ends the request as before, unless another replica takes it.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -21,6 +21,10 @@
 		if ctx.Err() != nil {
 			return errors.Trace(ctx.Err())
 		}
+		if run.held != nil && run.held.daemon == adr {
+			// That daemon has one run under the ID of the request.
+			continue
+		}
 		if err := run.chargeRetryBudget(forwardBudgetGroup); err != nil {
 			return err
 		}
@@ -47,12 +51,8 @@
 	req.Crashes = run.crashes
 	received := false
 	receive := func(evt Event) error {
-		if !run.overtakeHeld() {
-			return errors.Trace(errOvertaken)
-		}
 		received = true
-		run.eventHistory.add(evt)
-		return nil
+		return run.receive(evt)
 	}
 	err := run.dispatcher.deps.Forward(ctx, adr, req, receive)
 	if errors.Is(err, errOvertaken) {
@@ -61,13 +61,7 @@
 	if !errors.Is(err, ErrConnectionLost) {
 		return errors.Trace(err)
 	}
-	run.mayHaveRun = true
-	run.nextIsRetry = true
-	if ctx.Err() != nil {
-		run.abandonRemote(adr)
-		return errors.Trace(ctx.Err())
-	}
-	run.dispatcher.logger.Warn("connection to the peer that runs a forwarded request broke", zap.String("request", run.requestID), zap.String("peer", adr))
+	run.logBrokenPath(adr)
 	pos := position{
 		token: stream.ResumeToken{
 			RequestID: run.requestID,
@@ -82,27 +76,57 @@
 			pos.sequence = evt.Sequence
 		}
 	}
-	if err = run.resumeForwarded(ctx, pos, receive); err != nil {
+	return run.recoverForwarded(ctx, adr, pos)
+}
+
+func (run *run) logBrokenPath(adr string) {
+	run.dispatcher.logger.Warn("connection to the peer that runs a forwarded request broke", zap.String("request", run.requestID), zap.String("peer", adr))
+}
+
+// recoverForwarded resumes a forwarded request after pos. If that fails, the daemon that runs it is held until another replica continues
+// the text.
+func (run *run) recoverForwarded(ctx context.Context, adr string, pos position) error {
+	run.mayHaveRun = true
+	run.nextIsRetry = true
+	if ctx.Err() != nil {
+		run.abandonRemote(adr)
+		return errors.Trace(ctx.Err())
+	}
+	pos, err := run.resumeForwarded(ctx, pos)
+	switch {
+	case err == nil:
+	case errors.Is(err, errReplica) && run.held == nil && !run.isSuspect():
+		run.holdForwarded(ctx, adr, pos)
+	default:
 		run.abandonRemote(adr)
 	}
 	run.attempt += forwardAttemptStride
 	return err
 }
 
-func (run *run) resumeForwarded(ctx context.Context, pos position, receive func(Event) error) error {
-	pos, err := run.dispatcher.attach(ctx, pos, receive)
-	if !errors.Is(err, ErrConnectionLost) && !errors.Is(err, ErrUnreachable) && !errors.Is(err, ErrUnknownRequest) {
-		return errors.Trace(err)
+func (run *run) resumeForwarded(ctx context.Context, pos position) (position, error) {
+	pos, err := run.dispatcher.attach(ctx, pos, run.receive)
+	if !isPathError(err) && !errors.Is(err, ErrUnknownRequest) {
+		return pos, errors.Trace(err)
 	}
 	if pos.sequence < 0 {
-		return errors.Annotate(errReplica, "the entry VM of the other zone was lost")
+		return pos, errors.Annotate(errReplica, "the entry VM of the other zone was lost")
 	}
 	err = run.dispatcher.readEngine(ctx, pos, run.eventHistory)
 	var ref *refusal.Refusal
 	if errors.As(err, &ref) {
-		return errors.Annotate(errReplica, ref.Detail)
+		return pos, errors.Annotate(errReplica, ref.Detail)
 	}
-	return err
+	return pos, err
+}
+
+// receive adds an event of another daemon to the history.
+func (run *run) receive(evt Event) error {
+	if !run.overtakeHeld() {
+		return errors.Trace(errOvertaken)
+	}
+	run.eventHistory.add(evt)
+	return nil
 }
 
 // abandonRemote notifies the daemon that runs the request that no caller waits for it any more.
--- a/internal/dispatch/resume_test.go
+++ b/internal/dispatch/resume_test.go
@@ -116,6 +116,7 @@
 			c.Assert(err, qt.IsNil)
 			c.Assert(text, qt.Equals, "abcd")
 			c.Assert(abandoned.Load(), qt.Equals, int64(0))
+			c.Assert(forwards.Load(), qt.Equals, int64(1))
 		})
 	}
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -353,7 +353,7 @@
 	switch {
 	case !mayHold:
 	case alive && !run.isSuspect():
-		run.hold(ctx, rly)
+		run.holdLocal(ctx, rly)
 	default:
 		run.dispatcher.cancelStream(rly.token)
 	}
