--- a/internal/dispatch/unanswered_test.go
+++ b/internal/dispatch/unanswered_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -262,6 +263,23 @@
 	}
 }
 
+// restOfText returns the stream of a replica that continues the text after the first two frames.
+func restOfText(_ context.Context, srq backend.StreamRequest) (*backend.Stream, error) {
+	rdr, wrt := io.Pipe()
+	go func() {
+		for seq, text := range []string{"c", "d"} {
+			_ = writeFrame(wrt, backend.Frame{
+				RequestID: srq.RequestID,
+				Attempt:   srq.Attempt,
+				Sequence:  seq,
+				Text:      text,
+				Finish:    map[int]string{1: "stop"}[seq],
+			})
+		}
+	}()
+	return backend.NewStream(rdr), nil
+}
+
 // Guards against a stalled stream that goes on at its replica, or holds a permit, after another replica has continued its text.
 func TestReplacedStreamIsCancelledOnce(t *testing.T) {
 	t.Parallel()
@@ -274,21 +292,7 @@
 		held.Add(1)
 		return func() { held.Add(-1) }, nil
 	}
-	fix.addSpare(c, func(_ context.Context, srq backend.StreamRequest) (*backend.Stream, error) {
-		rdr, wrt := io.Pipe()
-		go func() {
-			for seq, text := range []string{"c", "d"} {
-				_ = writeFrame(wrt, backend.Frame{
-					RequestID: srq.RequestID,
-					Attempt:   srq.Attempt,
-					Sequence:  seq,
-					Text:      text,
-					Finish:    map[int]string{1: "stop"}[seq],
-				})
-			}
-		}()
-		return backend.NewStream(rdr), nil
-	})
+	fix.addSpare(c, restOfText)
 	text, err := fix.generate()
 	c.Assert(err, qt.IsNil)
 	c.Assert(text, qt.Equals, "abcd")
@@ -301,3 +305,26 @@
 	defer slw.mu.Unlock()
 	c.Assert(slw.cancels, qt.DeepEquals, []int{0})
 }
+
+// Guards against frames of two replicas in one response, when a stalled stream goes on in the moment in which another replica answers.
+func TestOnlyOneReplicaContinuesTheText(t *testing.T) {
+	t.Parallel()
+	const runs = 16
+	for idx := range runs {
+		t.Run(strconv.Itoa(idx), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			fix, slw := newSlowFixture(c, 0)
+			answersAt := time.Now().Add(silence)
+			slw.wakesAt = answersAt.Add(time.Duration(idx-runs/2) * 250 * time.Microsecond)
+			fix.dps.TakeRetry = func(string, string) bool { return true }
+			fix.addSpare(c, func(ctx context.Context, srq backend.StreamRequest) (*backend.Stream, error) {
+				time.Sleep(time.Until(answersAt))
+				return restOfText(ctx, srq)
+			})
+			text, err := fix.generate()
+			c.Assert(err, qt.IsNil)
+			c.Assert(text, qt.Equals, "abcd")
+		})
+	}
+}
