--- a/internal/dispatch/unanswered_test.go
+++ b/internal/dispatch/unanswered_test.go
@@ -165,13 +165,20 @@
 	}
 }
 
-// generate runs a request and returns the text of its events.
-func (fix *fixture) generate() (string, error) {
+func (fix *fixture) dispatcher() *dispatch.Dispatcher {
 	cfg := dispatch.Config{
 		AvailabilityZone: "zone-1",
 		TokenKey:         []byte("key"),
 	}
-	dsp := dispatch.New(cfg, fix.dps, fix.inv, fix.tab, quarantine.New(), metrics.NewRegistry(), clockwork.NewRealClock(), zap.NewNop())
+	return dispatch.New(cfg, fix.dps, fix.inv, fix.tab, quarantine.New(), metrics.NewRegistry(), clockwork.NewRealClock(), zap.NewNop())
+}
+
+// generate runs a request and returns the text of its events.
+func (fix *fixture) generate() (string, error) {
+	return generate(fix.dispatcher())
+}
+
+func generate(dsp *dispatch.Dispatcher) (string, error) {
 	text := ""
 	err := dsp.Generate(context.Background(), dispatch.Request{
 		RequestID: "request-1",
@@ -328,3 +335,22 @@
 		})
 	}
 }
+
+// Guards against a daemon that stops while a stalled stream waits to be resumed.
+func TestDrainWaitsForStalledStream(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	fix, slw := newSlowFixture(c, 2)
+	fix.dps.TakeRetry = func(string, string) bool { return true }
+	dsp := fix.dispatcher()
+	drained := make(chan struct{})
+	time.AfterFunc(silence/2, func() {
+		defer close(drained)
+		dsp.Drain(context.Background())
+		c.Check(time.Now().Before(slw.wakesAt), qt.IsFalse)
+	})
+	text, err := generate(dsp)
+	c.Assert(err, qt.IsNil)
+	c.Assert(text, qt.Equals, "abcd")
+	<-drained
+}
