Take a reset while connecting for a server that is reached

What callers saw: requests to servers at their limit of connections went through other daemons, although this one reached them; tunnels failed with "the target of a tunnel broke its connection".

Cause: a server resets connections beyond its limit. If the reset arrives before connect returns, the dial fails with ECONNRESET, and the check of paths took this for a server that does not respond. Other daemons reached it a moment later, so that it was recorded as cut off.

TestResetWhileConnectingShowsThatServerIsReached failed without it ("connect: connection reset by peer") and passes. A refused or silent connection still fails.

--- a/internal/site/serverpaths.go
+++ b/internal/site/serverpaths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/juju/errors"
@@ -29,13 +30,7 @@
 	log *zap.Logger,
 ) *serverpath.Selector {
 	deps := serverpath.Dependencies{
-		Probe: func(ctx context.Context, address string) error {
-			con, err := dialServer(ctx, "tcp", address)
-			if err != nil {
-				return errors.Trace(err)
-			}
-			return con.Close()
-		},
+		Probe: func(ctx context.Context, address string) error { return probeServer(ctx, dialServer, address) },
 		Tunnel: func(ctx context.Context, per serverpath.Peer, address string) (net.Conn, error) {
 			con, err := msh.Tunnel(ctx, per.Address, address)
 			if err != nil {
@@ -82,6 +77,19 @@
 	return sel
 }
 
+// probeServer connects to the backend server at address and closes the connection. A server that resets it at its limit of connections
+// is reached: it had accepted the connection.
+func probeServer(ctx context.Context, dialServer DialFunc, address string) error {
+	con, err := dialServer(ctx, "tcp", address)
+	if errors.Is(err, syscall.ECONNRESET) {
+		return nil
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return con.Close()
+}
+
 // tunnelConn is a connection to a backend server through another daemon. Its errors tell a broken path from a backend
 // server that broke the connection.
 type tunnelConn struct {
