Count a reset of a new connection as a crash only if the server is gone

Cause: a backend server resets connections beyond those that it accepts. Such a reset after the request was sent counted as a crash caused by this request, although the server went on under the same start time. Three servers sufficed.

Change: a connection that breaks before anything arrived on it says both. The daemon then connects to the server once. If that fails, or the process is not registered any more, the crash counts, as do all others, at once. Otherwise it is held back, and counts as soon as the registry shows another process or none. If the process is still registered when it would have expired, it is forgotten. Messages and stored objects are unchanged, so that old and new daemons work side by side.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -45,8 +45,13 @@
 // Crash is a connection to a backend server that broke under a request.
 type Crash struct {
 	Request Identity
+	// Server is the backend server as it was registered when the request was sent.
+	Server *serverregistry.Server
 	// Event identifies the process of the backend server.
 	Event string
+	// Unanswered is set if nothing had arrived on the connection, neither of this response nor of an earlier one. A backend server also
+	// resets connections beyond the number that it accepts.
+	Unanswered bool
 	// SentAt is when the request was sent to it.
 	SentAt time.Time
 }
@@ -120,7 +125,8 @@
 	// RecordDemand records the work of a request that arrived for the first time, whether or not it will be served.
 	RecordDemand func(request placement.Request, now time.Time)
 	// BlockedFor returns the time for which a request must not run, 0 if it may. ReportCrash records that a connection
-	// broke before the response had begun to arrive, or soon afterwards; ReportSurvival records that it went on arriving.
+	// broke before the response had begun to arrive, or soon afterwards, and may take some time to find out whether the
+	// backend server crashed; ReportSurvival records that the response went on arriving.
 	BlockedFor     func(request Identity, now time.Time) time.Duration
 	ReportCrash    func(crash Crash, now time.Time)
 	ReportSurvival func(request Identity, now time.Time)
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -57,6 +57,8 @@
 	// choose replaces the choice by addresses, and format the headers, unless they are nil.
 	choose func(request placement.Request) (placement.Pick, error)
 	format *relay.HeaderFormat
+	// crashes are those that the relay reported.
+	crashes []relay.Crash
 	// clock is the real clock if it is nil.
 	clock clockwork.Clock
 }
@@ -156,8 +158,12 @@
 			defer fix.mu.Unlock()
 			fix.retriesLeft++
 		},
-		BlockedFor:        func(relay.Identity, time.Time) time.Duration { return 0 },
-		ReportCrash:       func(relay.Crash, time.Time) {},
+		BlockedFor: func(relay.Identity, time.Time) time.Duration { return 0 },
+		ReportCrash: func(crs relay.Crash, _ time.Time) {
+			fix.mu.Lock()
+			defer fix.mu.Unlock()
+			fix.crashes = append(fix.crashes, crs)
+		},
 		ReportSurvival:    func(relay.Identity, time.Time) {},
 		ObserveLimit:      func(*serverregistry.Server, float64) bool { return false },
 		ReportRejection:   func(quarantine.Fingerprint, time.Time) {},
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -48,6 +48,8 @@
 	// arrived is set if the request may have reached the backend server, and mayHaveRun if it may have run there.
 	arrived    bool
 	mayHaveRun bool
+	// unanswered is set if the connection broke before anything arrived on it.
+	unanswered bool
 
 	// response is set once its headers are read, and begun once a part for the caller is. For an event stream, part is the latest event
 	// and events reads the rest; otherwise part is the whole body, or its beginning if tooLarge is set. ended is set if there is nothing
@@ -110,6 +112,7 @@
 	snd.arrived = true
 	if err != nil {
 		snd.mayHaveRun = true
+		snd.unanswered = !con.HasReceived()
 		return unknown, snd.recordBroken(err)
 	}
 	snd.response = rsp
@@ -207,9 +210,11 @@
 	if !snd.hasSettled(now) {
 		rly.deps.ReportCrash(Crash{
 			Request: snd.run.identity(),
+			Server:  srv,
 			// The event includes the start of the process: one that restarts under the same ID can crash again.
-			Event:  srv.ID + "/" + strconv.FormatInt(srv.StartTime, 10),
-			SentAt: snd.sentAt,
+			Event:      srv.ID + "/" + strconv.FormatInt(srv.StartTime, 10),
+			Unanswered: snd.unanswered,
+			SentAt:     snd.sentAt,
 		}, now)
 	}
 	return errors.Trace(err)
--- a/internal/serverpath/selector.go
+++ b/internal/serverpath/selector.go
@@ -140,6 +140,18 @@
 	return sel.pool.SingleUse(raw, address), nil
 }
 
+// Probe connects to the server at address, directly or through another daemon, and closes the connection.
+func (sel *Selector) Probe(ctx context.Context, address string) error {
+	if sel.Reaches(address) {
+		return errors.Trace(sel.deps.Probe(ctx, address))
+	}
+	con, err := sel.tunnel(ctx, address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(con.Close())
+}
+
 // Reaches reports whether this daemon is expected to reach the server at address directly.
 func (sel *Selector) Reaches(address string) bool {
 	sel.mu.Lock()
--- a/internal/serverregistry/registry.go
+++ b/internal/serverregistry/registry.go
@@ -116,7 +116,7 @@
 		reg.stopping[prc] = now
 	}
 	if rmv, ok := reg.removed[prc]; ok && objects.EraOf(rmv.version) < era {
-		reg.doubtful[prc] = now.Add(expiryTime)
+		reg.doubtful[prc] = now.Add(ExpiryTime)
 	}
 	delete(reg.removed, prc)
 	delete(reg.removedAt, srv.ID)
@@ -181,9 +181,9 @@
 	// stoppingRetention is the time after which a process that announced its stop has certainly stopped, so that it can be
 	// forgotten. It exceeds the lifetime of any entry.
 	stoppingRetention = 10 * time.Minute
-	// expiryTime is the time after which the entry of a process that writes no more has expired: three heartbeats and the
+	// ExpiryTime is the time after which the entry of a process that writes no more has expired: three heartbeats and the
 	// time until the removal is known.
-	expiryTime = 5 * time.Second
+	ExpiryTime = 5 * time.Second
 )
 
 // removedRetention is the time after which a removed entry is forgotten. Groups are repaired long before that.
--- a/internal/site/crashexchange.go
+++ b/internal/site/crashexchange.go
@@ -19,6 +19,7 @@
 	"github.com/cumintally/cumintally/internal/promptcrash"
 	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/relay"
+	"github.com/cumintally/cumintally/internal/serverpath"
 )
 
 const (
@@ -66,6 +67,7 @@
 	les *lease.Lease
 	trk *promptcrash.Tracker
 	qua *quarantine.Quarantine
+	chk *crashChecks
 	clk clockwork.Clock
 	log *zap.Logger
 
@@ -96,6 +98,7 @@
 	les *lease.Lease,
 	trk *promptcrash.Tracker,
 	qua *quarantine.Quarantine,
+	sel *serverpath.Selector,
 	msh *peer.Mesh,
 	clk clockwork.Clock,
 	log *zap.Logger,
@@ -114,6 +117,8 @@
 		requests:  newBroadcastBuffer[quarantine.Crash](clk),
 		found:     newBroadcastBuffer[promptcrash.Combination](clk),
 	}
+	cex.chk = newCrashChecks(stc.registry.View, sel.Probe, cex.countCrash, clk, cex.log)
+	stc.serversChanged = func() { cex.chk.review(clk.Now()) }
 	trk.DaemonCount = stc.daemonCount
 	trk.ReportBlocked = func(cmb promptcrash.Combination) {
 		cex.log.Warn("prompt parts crash backend servers; requests with them are rejected",
@@ -139,14 +144,22 @@
 	return cex.trk.Blocks(idn.Model, idn.SharedParts, now)
 }
 
-// recordCrash adds a crash that this daemon observed.
+// recordCrash adds a crash that this daemon observed, once it is known to be one.
 func (cex *crashExchange) recordCrash(crs relay.Crash, now time.Time) {
+	cex.chk.record(crs, now)
+}
+
+// countCrash adds a crash that this daemon observed when the connection broke at the given time.
+func (cex *crashExchange) countCrash(crs relay.Crash, brokeAt time.Time) {
+	now := cex.clk.Now()
+	age := max(0, now.Sub(brokeAt))
 	whole := quarantine.Crash{
 		Fingerprint: crs.Request.Fingerprint,
 		Event:       crs.Event,
+		Age:         age,
 	}
 	if cex.qua.RecordCrash(whole, now) {
-		told := cex.requests.add(whole, 0)
+		told := cex.requests.add(whole, age)
 		cex.log.Info("a request broke the connection to a backend server", zap.String("fingerprint", string(whole.Fingerprint)),
 			zap.String("event", whole.Event), zap.Bool("told", told))
 	}
@@ -156,9 +169,10 @@
 		Request: string(crs.Request.Fingerprint),
 		Event:   crs.Event,
 		SentAge: now.Sub(crs.SentAt),
+		Age:     age,
 	}
 	if cex.trk.RecordCrash(observed, now) {
-		told := cex.crashes.add(observed, 0)
+		told := cex.crashes.add(observed, age)
 		cex.sendSoon()
 		cex.log.Info("a backend server crashed before a request wrote its response", zap.String("model", observed.Model),
 			zap.Strings("promptParts", observed.Parts), zap.String("fingerprint", observed.Request), zap.String("event", observed.Event),
@@ -280,6 +294,7 @@
 	stored, version := blockedRecord{}, uint64(0)
 	loaded, loadedIn := false, uint64(0)
 	for ; ctx.Err() == nil; sleep(ctx, cex.clk, blockedInterval) {
+		cex.chk.review(cex.clk.Now())
 		// A store that was restored from a copy may have lost what was stored.
 		if era := cex.pst.CurrentEra(); !loaded || era != loadedIn {
 			var err error
--- a/internal/site/storecache.go
+++ b/internal/site/storecache.go
@@ -101,6 +101,9 @@
 	// evacuated holds the zones that are out of service, with the versions of their evacuation objects.
 	evacuated map[string]uint64
 
+	// serversChanged is called after the registry has changed, unless it is nil.
+	serversChanged func()
+
 	// outdated holds the kinds whose copies were out of date at the last check, and wasReady whether this daemon was ready
 	// then. Only the goroutine of logCopies uses them: a follower holds its own lock while it changes a copy.
 	outdated map[string]bool
@@ -386,6 +389,9 @@
 	} else {
 		stc.registry.Apply(chgs, now)
 	}
+	if stc.serversChanged != nil {
+		stc.serversChanged()
+	}
 	stc.logServers(before, chgs)
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -130,6 +130,11 @@
 	return !slices.Contains(con.carried, id)
 }
 
+// HasReceived reports whether anything has arrived on the connection. It must not be called while a response is being read.
+func (con *Conn) HasReceived() bool {
+	return con.headLimit.received
+}
+
 func (rqs *Request) match(res *http.Response) Match {
 	if rqs.Match == nil {
 		return Same
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -23,17 +23,22 @@
 	io.Reader
 	limited   bool
 	remaining int
+	// received is set once a byte has arrived.
+	received bool
 }
 
 // Read fails with errHeadTooLarge once the limit is reached.
 func (lmt *headLimiter) Read(buf []byte) (int, error) {
 	if !lmt.limited {
-		return lmt.Reader.Read(buf)
+		num, err := lmt.Reader.Read(buf)
+		lmt.received = lmt.received || num > 0
+		return num, err
 	}
 	if lmt.remaining <= 0 {
 		return 0, errHeadTooLarge
 	}
 	num, err := lmt.Reader.Read(buf[:min(len(buf), lmt.remaining)])
+	lmt.received = lmt.received || num > 0
 	lmt.remaining -= num
 	return num, err
 }
