Resume a stream once more if a connection ended before its rest

What callers saw: a stream that ended as if it were complete, without its last events. Its server had broken off; the one that was to resume it sent a head without a length and broke off, too.

Cause: the rest of a stream may be empty, and without a length the end of the connection is the end of the response. A send beside a stalled response takes that for a failure; a send after one that failed did not.

Change: a resumed stream that ends with its connection, before any event, counts as failed.

Evidence: TestStreamIsNotEndedByServerThatBreaksOffBeforeItsRest failed before, three runs of three, with the first of two events and no error, and passes, three runs with the race detector.

--- /dev/null
+++ b/internal/relay/resume_test.go
@@ -0,0 +1,24 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a stream that ends as if it were complete because the server that was to resume it broke off after its head (ORDER).
+func TestStreamIsNotEndedByServerThatBreaksOffBeforeItsRest(tst *testing.T) {
+	broken, _ := pausing(tst, 0, openHead+firstEvent+"id: 2\n")
+	other, _ := pausing(tst, 0, openHead+secondEvent)
+	fix := &fixture{
+		tst:         tst,
+		addresses:   []string{broken, rawServer(tst, openHead), other},
+		retriesLeft: 2,
+		attempts:    3,
+	}
+	status, body, err := fix.fetch()
+	qt.Check(tst, err, qt.IsNil)
+	qt.Check(tst, status, qt.Equals, http.StatusOK)
+	qt.Check(tst, body, qt.Equals, firstEvent+secondEvent)
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -249,8 +249,8 @@
 	if err := snd.readPart(); err != nil {
 		return err
 	}
-	// The rest of a stream may be empty.
-	if len(snd.part) == 0 && !snd.resumesStream {
+	// The rest of a stream may be empty, but the end of the connection may also mean that the server broke off.
+	if len(snd.part) == 0 && (!snd.resumesStream || rsp.CloseDelimited()) {
 		snd.finish(true)
 		rly.outliers.RecordFailure(server, rly.clock.Now())
 		return errors.New("the stream ended before its first event")
