Wait to resume a stream as long as its caller waits

What callers saw: a stream that broke off and could not be resumed at once, for lack of retries or of a server, was cut 1.8 s after its last event although its caller waited on.

Cause: the wait is bounded by a constant for callers that leave after two seconds. They wait for four times the objective if that is longer.

Change: the bound follows the objective of the route.

--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -22,3 +23,23 @@
 	qt.Check(tst, status, qt.Equals, http.StatusOK)
 	qt.Check(tst, body, qt.Equals, firstEvent+secondEvent)
 }
+
+// Guards against a stream that is cut for lack of retries while its caller waits on: callers wait for four times the objective.
+func TestBrokenStreamWaitsAsLongAsItsCaller(tst *testing.T) {
+	broken, _ := pausing(tst, 0, openHead+firstEvent+"id: 2\n")
+	other, _ := pausing(tst, 0, openHead+secondEvent)
+	fix := &fixture{
+		tst:       tst,
+		addresses: []string{broken, other},
+		objective: time.Second,
+	}
+	time.AfterFunc(3*time.Second, func() {
+		fix.mu.Lock()
+		defer fix.mu.Unlock()
+		fix.retriesLeft = 1
+	})
+	status, body, err := fix.fetch()
+	qt.Check(tst, err, qt.IsNil)
+	qt.Check(tst, status, qt.Equals, http.StatusOK)
+	qt.Check(tst, body, qt.Equals, firstEvent+secondEvent)
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -28,11 +28,14 @@
 	latePriorityOffset = 5
 	// maxResumeSends replaces maxExtraSends for a stream that has begun.
 	maxResumeSends = 8
-	// resumeInterval is the wait between two attempts to resume a stream, so that maxResumeSends cover resumeTimeout.
+	// resumeInterval is the wait between two attempts to resume a stream.
 	resumeInterval = 250 * time.Millisecond
-	// resumeTimeout is the time since the last event after which the relay no longer waits for a backend server that
-	// can resume a stream: callers abandon a stream after about two seconds.
-	resumeTimeout = 1800 * time.Millisecond
+	// minStreamPatience is the time since the last event for which every caller of a stream waits, and
+	// patienceObjectives the multiple of the objective for which it waits if that is longer.
+	minStreamPatience  = 2 * time.Second
+	patienceObjectives = 4
+	// resumeMargin is the time that the next event takes to reach the caller once a stream can be resumed.
+	resumeMargin = 200 * time.Millisecond
 )
 
 // outcome is the result of one send.
@@ -220,7 +223,7 @@
 // reports whether to search again. A caller that has received part of a stream cannot use a response that asks it to
 // retry later.
 func (run *run) waitToResume(ctx context.Context) bool {
-	if !run.committed || run.relay.clock.Since(run.lastEventAt) > resumeTimeout {
+	if !run.committed || run.relay.clock.Since(run.lastEventAt) > run.resumeTimeout() {
 		return false
 	}
 	// Backend servers that were at capacity may accept requests again.
@@ -233,6 +236,12 @@
 	}
 }
 
+// resumeTimeout returns the time since the last event after which the relay no longer waits for a backend server that can resume a
+// stream, since the caller abandons it.
+func (run *run) resumeTimeout() time.Duration {
+	return max(minStreamPatience, patienceObjectives*run.route.Objective) - resumeMargin
+}
+
 func (run *run) placementRequest() placement.Request {
 	expected := run.requestHeaders.ExpectedTokens
 	if expected <= 0 || expected > run.requestHeaders.MaxTokens {
