Eject no server for one reset while connecting

What callers saw: fewer servers. One at its limit of connections got no requests of a daemon for 0.7 s and more, up to 6 s, although the daemon had connections there that were served.

Cause: a reset that arrives before connect returns fails the dial, and a failed dial ejects the server at once. The same reset a moment later counts as one failure of several that an ejection takes.

Change: a dial that is reset counts as one failure. One that is refused or gets no response still ejects the server.

Evidence: TestResetWhileConnectingEjectsNoServer failed for the reset ("got false, want true") and passes with the race detector. What it changes under load was not measured.

--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -57,6 +57,9 @@
 	// choose replaces the choice by addresses, and format the headers, unless they are nil.
 	choose func(request placement.Request) (placement.Pick, error)
 	format *relay.HeaderFormat
+	// dial replaces the dialing of servers, and outliers the tracker, unless they are nil.
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	outliers *outlier.Tracker
 	// crashes are those that the relay reported.
 	crashes []relay.Crash
 	// clock is the real clock if it is nil.
@@ -100,7 +103,13 @@
 	if clk == nil {
 		clk = clockwork.NewRealClock()
 	}
-	pol := upstream.New((&net.Dialer{}).DialContext, clk, metrics.NewCounter())
+	if fix.dial == nil {
+		fix.dial = (&net.Dialer{}).DialContext
+	}
+	if fix.outliers == nil {
+		fix.outliers = outlier.New()
+	}
+	pol := upstream.New(fix.dial, clk, metrics.NewCounter())
 	fix.tst.Cleanup(func() { pol.Trim(func(string) bool { return false }) })
 	dps := relay.Dependencies{
 		Table:                  func() *route.Table { return tbl },
@@ -183,7 +192,7 @@
 	if fix.format != nil {
 		format = *fix.format
 	}
-	return relay.New(format, dps, outlier.New(), metrics.NewRegistry(), clk, zap.NewNop())
+	return relay.New(format, dps, fix.outliers, metrics.NewRegistry(), clk, zap.NewNop())
 }
 
 // allowChoices lets num further choices find a server.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -100,9 +101,7 @@
 	rly, srv := snd.run.relay, snd.pick.Server
 	con, err := snd.connect(srv.Address)
 	if err != nil {
-		if snd.ctx.Err() == nil && !errors.Is(err, upstream.ErrPathBroken) {
-			rly.outliers.Eject(srv.ID, rly.clock.Now())
-		}
+		snd.recordUnconnected(err)
 		return notRun, errors.Trace(err)
 	}
 	rsp, err := con.Do(snd.ctx, snd.buildCall())
@@ -152,6 +151,19 @@
 	}
 }
 
+// recordUnconnected records that no connection to the backend server opened. One that resets it may be at its limit of connections and
+// serve those that it has.
+func (snd *send) recordUnconnected(err error) {
+	rly, srv := snd.run.relay, snd.pick.Server
+	switch {
+	case snd.ctx.Err() != nil || errors.Is(err, upstream.ErrPathBroken):
+	case errors.Is(err, syscall.ECONNRESET):
+		rly.outliers.RecordFailure(srv.ID, rly.clock.Now())
+	default:
+		rly.outliers.Eject(srv.ID, rly.clock.Now())
+	}
+}
+
 func (snd *send) buildCall() upstream.Request {
 	run := snd.run
 	hdr := forwardedHeader(run.request.Header)
