Let a slow caller take more parts of a long response than the deadline allows

The caller takes 1.5 s for each part that it reads. The response came in four parts, the last of which was read 4.5 s after the start; with a short read there is a fifth one at 6 s, after the deadline of 5 s, and the response is cut, as it must be. The deadline is not what the test is about: it is 30 s now. The checks are the same.

--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -178,6 +178,8 @@
 				tst:         tst,
 				addresses:   []string{server},
 				retriesLeft: 1,
+				// The response arrives in an unknown number of parts, each of which takes the caller this long.
+				timeout: 20 * silence,
 			}
 			rsp := httptest.NewRecorder()
 			caller := slowCaller{
