Check once more for a stall if the daemon itself stood still

What servers saw: sound streams were sent to a second server, and the first connection or the second was closed, after the daemon had not run for about a second. Bytes of the responses waited in its sockets; the checks for a stall, which were overdue, ran before they were read.

Cause: a check takes the time since the last byte that was read for the silence of the server.

Change: a check that comes more than its interval late is made once more after the interval, in which the daemon reads what has arrived. If that one is late as well, it counts.

Evidence: TestStandstillOfTheDaemonIsNoStall failed before, with a stall, and passes, also with the race detector.

--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -51,8 +51,11 @@
 	// onStall is called with the time of the stall, while the lock is held.
 	onStall func(now time.Time)
 
-	mu           sync.Mutex
-	timer        *time.Timer
+	mu    sync.Mutex
+	timer *time.Timer
+	// dueAt is when the next check is due, the zero time if that does not matter, and late is set if the latest check came late.
+	dueAt        time.Time
+	late         bool
 	lastProgress time.Time
 	// begun is set once bytes of the response have arrived, failed once the watched send has failed, and ended once nothing is watched
 	// any more.
@@ -124,6 +127,7 @@
 	defer wch.mu.Unlock()
 	if wch.maySend() {
 		wch.timer = time.AfterFunc(wch.timeout, wch.check)
+		wch.dueAt = run.relay.clock.Now().Add(wch.timeout)
 	}
 	return wch
 }
@@ -143,18 +147,30 @@
 	}
 	now := wch.run.relay.clock.Now()
 	if left := wch.timeout - wch.silence(now); left > 0 || wch.delivering {
-		wch.timer.Reset(max(left, stallCheckInterval))
+		wch.arm(now, max(left, stallCheckInterval))
+		return
+	}
+	// If the daemon itself stood still, bytes may have arrived that it has not read yet.
+	wch.late = !wch.late && !wch.dueAt.IsZero() && now.Sub(wch.dueAt) > stallCheckInterval
+	if wch.late {
+		wch.arm(now, stallCheckInterval)
 		return
 	}
 	wch.onStall(now)
 }
 
+// arm sets the time of the next check to that after the time wait. The caller holds the lock.
+func (wch *stallWatch) arm(now time.Time, wait time.Duration) {
+	wch.dueAt = now.Add(wait)
+	wch.timer.Reset(wait)
+}
+
 // sendElsewhere sends a stalled request to one more backend server, if it may. The caller holds the lock.
 func (wch *stallWatch) sendElsewhere(now time.Time) {
 	if !wch.maySend() {
 		return
 	}
-	wch.timer.Reset(stallCheckInterval)
+	wch.arm(now, stallCheckInterval)
 	pick, err := wch.choose(now)
 	if err != nil {
 		wch.waitOn(now, err)
@@ -261,7 +277,7 @@
 	}
 	wch.run.logFailedSend(snd, out, err, snd.resumesStream, snd.lastEventID)
 	// The next server is tried at once.
-	wch.timer.Reset(0)
+	wch.arm(wch.run.relay.clock.Now(), 0)
 	return false
 }
 
--- a/internal/relay/stall_internal_test.go
+++ b/internal/relay/stall_internal_test.go
@@ -65,3 +65,38 @@
 		})
 	}
 }
+
+// Guards against sound streams that count as stalled since the daemon itself stood still and has not read them yet.
+func TestStandstillOfTheDaemonIsNoStall(tst *testing.T) {
+	clk := steppedclock.New()
+	stalls := 0
+	wch := &stallWatch{
+		run: &run{
+			relay: &Relay{
+				outliers: outlier.New(),
+				clock:    clk,
+			},
+		},
+		onStall: func(time.Time) { stalls++ },
+		send: &send{
+			pick: placement.Pick{
+				Server: &serverregistry.Server{
+					ID: "vm-1",
+				},
+			},
+		},
+		sharedStreams: true,
+		timeout:       time.Second,
+		timer:         time.NewTimer(time.Hour),
+	}
+	defer wch.stop()
+	wch.recordProgress(clk.Now())
+	wch.check()
+	clk.Advance(3 * time.Second)
+	wch.check()
+	qt.Assert(tst, stalls, qt.Equals, 0)
+	// A stream that is silent also after that is stalled, even if each check is late.
+	clk.Advance(time.Second)
+	wch.check()
+	qt.Assert(tst, stalls, qt.Equals, 1)
+}
