Let a stream in progress continue elsewhere although it is suspected of crashes

What callers saw: a stream that had been resumed at a server that was silent stood still until its deadline, if its request was held or blocked as one that may crash servers.

Cause: a stalled send is not sent elsewhere if its request is suspected, unless a part of its own response has arrived. A stream of which the caller has received a part at another server has run soundly, too; all other checks of the relay say so.

TestSuspicionDoesNotHoldBackStreamInProgress failed before and passes.

--- a/internal/relay/resume_test.go
+++ b/internal/relay/resume_test.go
@@ -43,3 +43,24 @@
 	qt.Check(tst, status, qt.Equals, http.StatusOK)
 	qt.Check(tst, body, qt.Equals, firstEvent+secondEvent)
 }
+
+// Guards against a stream that waits for a silent server since its request is suspected of crashes, although it has run soundly before.
+func TestSuspicionDoesNotHoldBackStreamInProgress(tst *testing.T) {
+	broken, _ := pausing(tst, 0, openHead+firstEvent+"id: 2\n")
+	other, _ := pausing(tst, 0, openHead+secondEvent)
+	fix := &fixture{
+		tst:         tst,
+		addresses:   []string{broken, hanging(tst), other},
+		retriesLeft: 2,
+		attempts:    3,
+	}
+	time.AfterFunc(stallAfter/2, func() {
+		fix.mu.Lock()
+		defer fix.mu.Unlock()
+		fix.blockedFor = time.Minute
+	})
+	status, body, err := fix.fetch()
+	qt.Check(tst, err, qt.IsNil)
+	qt.Check(tst, status, qt.Equals, http.StatusOK)
+	qt.Check(tst, body, qt.Equals, firstEvent+secondEvent)
+}
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -50,6 +50,8 @@
 	kind     route.Kind
 	timeout  time.Duration
 	attempts int
+	// blockedFor is the time for which requests must not run since they may crash backend servers.
+	blockedFor time.Duration
 	// isOutdated says that the configuration may lack changes that must be in force.
 	isOutdated bool
 	// limits are those of the configuration, and secret says that the route needs a key.
@@ -168,7 +170,7 @@
 			defer fix.mu.Unlock()
 			fix.retriesLeft++
 		},
-		BlockedFor: func(relay.Identity, time.Time) time.Duration { return 0 },
+		BlockedFor: func(relay.Identity, time.Time) time.Duration { return fix.blockedTime() },
 		ReportCrash: func(crs relay.Crash, _ time.Time) {
 			fix.mu.Lock()
 			defer fix.mu.Unlock()
@@ -196,6 +198,12 @@
 	return relay.New(format, dps, fix.outliers, metrics.NewRegistry(), clk, zap.NewNop())
 }
 
+func (fix *fixture) blockedTime() time.Duration {
+	fix.mu.Lock()
+	defer fix.mu.Unlock()
+	return fix.blockedFor
+}
+
 // allowChoices lets num further choices find a server.
 func (fix *fixture) allowChoices(num int) {
 	fix.mu.Lock()
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -187,7 +187,8 @@
 // choose returns the choice of another backend server, to which the request may be sent once more.
 func (wch *stallWatch) choose(now time.Time) (placement.Pick, error) {
 	rly := wch.run.relay
-	if !wch.begun && rly.deps.BlockedFor(wch.run.identity(), now) > 0 {
+	// A stream of which the caller has received a part has run soundly before.
+	if !wch.run.committed && rly.deps.BlockedFor(wch.run.identity(), now) > 0 {
 		return placement.Pick{}, errors.New("the request may crash backend servers")
 	}
 	request := wch.request
