Name what became of the sends beside a stalled one after them

besideResults, as the type was named like two fields; and the log of a stall states the silence of the watched server also after its connection broke.

--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -322,7 +322,7 @@
 
 // awaitReplacement waits for the sends beside one that has failed, until one of them has begun or all have failed.
 func (run *run) awaitReplacement(watch *stallWatch) {
-	var rst replacements
+	var rst besideResults
 	run.replacement, rst = watch.await()
 	run.sends += rst.started
 	run.arrivals += rst.arrivals
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -73,12 +73,12 @@
 	// became of the others. settled is signalled when a send has begun or failed.
 	inProgress  []*send
 	replacement *send
-	results     replacements
+	results     besideResults
 	settled     *sync.Cond
 }
 
-// replacements is what became of the sends beside a stalled one.
-type replacements struct {
+// besideResults is what became of the sends beside a stalled one.
+type besideResults struct {
 	// started counts all of them, arrivals those that may have reached a backend server, and runs those that one may have run.
 	started  int
 	arrivals int
@@ -209,7 +209,8 @@
 	rly, srv := wch.run.relay, wch.send.pick.Server
 	rly.logger.Info("sending a stalled request to another backend server, too", zap.String("request", wch.run.requestHeaders.RequestID),
 		zap.String("server", srv.ID), zap.Bool("begun", wch.begun),
-		zap.Duration("connectionSilentFor", now.Sub(wch.lastProgress)), zap.Duration("serverSilentFor", wch.silence(now)))
+		zap.Duration("connectionSilentFor", now.Sub(wch.lastProgress)),
+		zap.Duration("serverSilentFor", wch.silenceOf(wch.send, wch.lastProgress, now)))
 	rly.deps.SuspectPath(srv.Address)
 	if wch.sharedStreams {
 		rly.outliers.Eject(srv.ID, now)
@@ -230,7 +231,8 @@
 	rly, srv := wch.run.relay, wch.send.pick.Server
 	rly.requestMetrics.stalledWaiting.Inc(1)
 	rly.logger.Info("waiting on for a response without progress, which cannot be replaced", zap.String("request", wch.run.requestHeaders.RequestID),
-		zap.String("server", srv.ID), zap.Bool("begun", wch.begun), zap.Duration("silentFor", wch.silence(now)), logging.Error(cause))
+		zap.String("server", srv.ID), zap.Bool("begun", wch.begun),
+		zap.Duration("silentFor", wch.silenceOf(wch.send, wch.lastProgress, now)), logging.Error(cause))
 	// If the path is what failed, another one can be found.
 	rly.deps.SuspectPath(srv.Address)
 }
@@ -386,7 +388,7 @@
 
 // await waits, after the watched send has failed, until one of the sends beside it has begun or all have failed. It returns the one
 // that has begun, which the caller must close, and what became of the others.
-func (wch *stallWatch) await() (*send, replacements) {
+func (wch *stallWatch) await() (*send, besideResults) {
 	wch.mu.Lock()
 	defer wch.mu.Unlock()
 	wch.failed = true
