Tell no daemon to abandon a request whose text is complete

What daemons saw: a request that another daemon had run for this one to its end was abandoned there. Callers saw nothing of it.

Cause: the events of a held request reach the caller while the run still waits for it. With the last one the caller leaves, which ends the run, and the end of a run abandons what it holds.

--- a/internal/dispatch/forward.go
+++ b/internal/dispatch/forward.go
@@ -129,8 +129,12 @@
 	return nil
 }
 
-// abandonRemote notifies the daemon that runs the request that no caller waits for it any more.
+// abandonRemote notifies the daemon that runs the request that no caller waits for it any more, unless the text is complete: the
+// caller can have all of it before the run has returned to a held stream.
 func (run *run) abandonRemote(adr string) {
+	if evt, ok := run.eventHistory.last(); ok && evt.Finish != "" {
+		return
+	}
 	run.dispatcher.requestCounters.cancelled.Inc(1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
