--- a/internal/loadview/view.go
+++ b/internal/loadview/view.go
@@ -317,6 +317,34 @@
 	return sum / time.Duration(max(1, num))
 }
 
+// LastByte returns when a backend server last sent a byte of a response in progress to another daemon, the zero time if
+// no daemon announced a request there. The time errs on the early side by the usual staleness of sums.
+func (viw *View) LastByte(server string, now time.Time) time.Time {
+	viw.mu.Lock()
+	defer viw.mu.Unlock()
+	viw.expire(now)
+	var last time.Time
+	record := func(loads map[string]Load, at time.Time) {
+		lod := loads[server]
+		if at = at.Add(-lod.SinceLastByte); lod.Requests > 0 && at.After(last) {
+			last = at
+		}
+	}
+	for _, dml := range viw.daemons {
+		record(dml.loads, dml.receivedAt)
+	}
+	for _, sums := range viw.zoneSums {
+		for _, cur := range sums {
+			record(cur.loads, cur.receivedAt.Add(-Interval(cur.daemons)))
+		}
+	}
+	for _, cur := range viw.siteSums {
+		// The zone sums of other hubs in it are older by another interval.
+		record(cur.loads, cur.receivedAt.Add(-2*Interval(cur.daemons)))
+	}
+	return last
+}
+
 // siteSum returns a hub's sum of the whole site if it covers more daemons than this daemon received loads of, else nil.
 // The caller holds the lock and has called expire.
 func (viw *View) siteSum() *loadSum {
--- a/internal/loadview/view_test.go
+++ b/internal/loadview/view_test.go
@@ -137,3 +137,36 @@
 	qt.Assert(tst, member.SiteDemand(rates(2), now), qt.DeepEquals, rates(7))
 	qt.Assert(tst, member.SiteDemand(rates(2), now.Add(2*time.Second)), qt.DeepEquals, rates(2))
 }
+
+// Guards against a byte that counts as later than it was: an announcement ages from its receipt, and a sum was made one
+// or two intervals before.
+func TestLastByteIsNeverTooLate(tst *testing.T) {
+	viw, now := loadview.New(), time.Unix(1000, 0)
+	loads := func(since time.Duration) []loadview.Load {
+		return []loadview.Load{
+			{
+				Server:        "srv",
+				Requests:      1,
+				SinceLastByte: since,
+			},
+			{
+				Server: "idle",
+			},
+		}
+	}
+	sum := loadview.Sum{
+		Daemons: 2,
+		Loads:   loads(0),
+	}
+	at := func(after time.Duration) time.Duration { return viw.LastByte("srv", now.Add(after)).Sub(now) }
+	viw.ReceiveAnnouncement("one", loadview.Announcement{
+		Loads: loads(350 * time.Millisecond),
+	}, now)
+	qt.Assert(tst, at(500*time.Millisecond), qt.Equals, -350*time.Millisecond)
+	viw.ReceiveSiteSum("hub", sum, 0, now)
+	qt.Assert(tst, at(500*time.Millisecond), qt.Equals, -200*time.Millisecond)
+	viw.ReceiveZoneSum("hub", "b", sum, now)
+	qt.Assert(tst, at(500*time.Millisecond), qt.Equals, -100*time.Millisecond)
+	qt.Assert(tst, viw.LastByte("idle", now).IsZero(), qt.IsTrue)
+	qt.Assert(tst, viw.LastByte("srv", now.Add(2*time.Second)).IsZero(), qt.IsTrue)
+}
--- a/internal/serverregistry/registry.go
+++ b/internal/serverregistry/registry.go
@@ -22,8 +22,10 @@
 type Registry struct {
 	mu      sync.Mutex
 	servers map[string]Server
-	// removedAt holds when the removal of an entry was seen, so that the planner can wait for the entry to return.
+	// removedAt holds when the removal of an entry was seen, so that the planner can wait for the entry to return, and
+	// lastSeen the content that the entry had last. Both are kept for removedRetention.
 	removedAt map[string]time.Time
+	lastSeen  map[string]Server
 	// stopping holds the processes that are about to stop, and when this daemon learned of that.
 	stopping map[Process]time.Time
 	// removed holds the processes whose entries were removed. doubtful holds those whose entries came back by a restore of
@@ -56,7 +58,18 @@
 	readyMembers map[Membership]int
 	// drainingGroups holds the groups and epochs with a draining member.
 	drainingGroups map[Membership]bool
-	removedAt      map[string]time.Time
+	// unregistered holds the unregistered members of each group and epoch, and lastSeen the removed entries by ID.
+	unregistered map[Membership]UnregisteredMembers
+	lastSeen     map[string]*Server
+	removedAt    map[string]time.Time
+}
+
+// UnregisteredMembers describes the members of a group, other than its head, whose entries were removed while they were
+// ready in its epoch and not draining.
+type UnregisteredMembers struct {
+	Number int
+	// RemovedAt is when this daemon learned of the last of the removals.
+	RemovedAt time.Time
 }
 
 // New returns an empty registry.
@@ -64,6 +77,7 @@
 	reg := &Registry{
 		servers:   map[string]Server{},
 		removedAt: map[string]time.Time{},
+		lastSeen:  map[string]Server{},
 		stopping:  map[Process]time.Time{},
 		removed:   map[Process]removal{},
 		doubtful:  map[Process]time.Time{},
@@ -100,6 +114,7 @@
 // recordRemoval records the removal of an entry. The caller holds the lock.
 func (reg *Registry) recordRemoval(srv Server, version uint64, now time.Time) {
 	reg.removedAt[srv.ID] = now
+	reg.lastSeen[srv.ID] = srv
 	reg.removed[srv.Process()] = removal{
 		version: max(version, srv.Version),
 		at:      now,
@@ -120,6 +135,7 @@
 	}
 	delete(reg.removed, prc)
 	delete(reg.removedAt, srv.ID)
+	delete(reg.lastSeen, srv.ID)
 }
 
 // Apply applies changes in the order in which they were made. It ignores changes that are older than the copy.
@@ -196,6 +212,8 @@
 		services:       map[string][]*Server{},
 		readyMembers:   map[Membership]int{},
 		drainingGroups: map[Membership]bool{},
+		unregistered:   map[Membership]UnregisteredMembers{},
+		lastSeen:       make(map[string]*Server, len(reg.lastSeen)),
 		removedAt:      make(map[string]time.Time, len(reg.removedAt)),
 	}
 	var last time.Time
@@ -207,15 +225,13 @@
 	for id, when := range reg.removedAt {
 		if last.Sub(when) > removedRetention {
 			delete(reg.removedAt, id)
+			delete(reg.lastSeen, id)
 			continue
 		}
-		viw.removedAt[id] = when
+		viw.addRemoved(reg.current(reg.lastSeen[id]), when)
 	}
 	for id := range reg.servers {
-		srv := reg.servers[id]
-		_, stopping := reg.stopping[srv.Process()]
-		_, doubtful := reg.doubtful[srv.Process()]
-		srv.Draining = srv.Draining || stopping || doubtful
+		srv := reg.current(reg.servers[id])
 		viw.servers[id] = &srv
 		viw.services[srv.Service] = append(viw.services[srv.Service], &srv)
 		if srv.Membership.State != NoGroup && srv.Membership.State != Joining {
@@ -231,6 +247,31 @@
 	reg.view.Store(viw)
 }
 
+// current returns an entry that counts as draining if its process is about to stop or doubtful. The caller holds the
+// lock.
+func (reg *Registry) current(srv Server) Server {
+	_, stopping := reg.stopping[srv.Process()]
+	_, doubtful := reg.doubtful[srv.Process()]
+	srv.Draining = srv.Draining || stopping || doubtful
+	return srv
+}
+
+// addRemoved adds an entry that was removed.
+func (viw *View) addRemoved(srv Server, when time.Time) {
+	viw.removedAt[srv.ID] = when
+	viw.lastSeen[srv.ID] = &srv
+	if srv.Membership.State != Ready || srv.Membership.Rank == 0 || srv.Draining {
+		return
+	}
+	key := srv.Membership.GroupEpoch()
+	ums := viw.unregistered[key]
+	ums.Number++
+	if when.After(ums.RemovedAt) {
+		ums.RemovedAt = when
+	}
+	viw.unregistered[key] = ums
+}
+
 // Server returns a backend server by its ID.
 func (viw *View) Server(id string) (*Server, bool) {
 	srv, ok := viw.servers[id]
@@ -258,6 +299,17 @@
 	return viw.readyMembers[mbs.GroupEpoch()]
 }
 
+// UnregisteredMembers returns the unregistered members of a group with the same epoch.
+func (viw *View) UnregisteredMembers(mbs Membership) UnregisteredMembers {
+	return viw.unregistered[mbs.GroupEpoch()]
+}
+
+// LastSeen returns the last content of a backend server's entry that was removed recently.
+func (viw *View) LastSeen(id string) (*Server, bool) {
+	srv, ok := viw.lastSeen[id]
+	return srv, ok
+}
+
 // HasDrainingMember reports whether a member of a group with the same epoch is draining.
 func (viw *View) HasDrainingMember(mbs Membership) bool {
 	return viw.drainingGroups[mbs.GroupEpoch()]
