Keep groups that send tokens although members are not registered

When engines lose the store for 5 s, their registrations expire, and placement dropped each group with such a member while the lease holder repaired it 100 ms later: the serving groups of the small model fell from 11 to 5. Placement now sends to an open head whose missing members were ready in its epoch when last seen, while its group sends tokens. The lease holder holds such a group: its members are neither lost nor spare, the group keeps its place in sizing, and no orders are sent for it. Once its tokens stop, the members count as lost at once. A group without evidence is replanned after missingGrace as before.

Measured in the tests of sitecontrol: no order for 7.5 s with two members unregistered, also from a new lease holder, and none after they return; a group with a failed member is replanned within three rounds of the removal.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -67,6 +67,8 @@
 	InService func(zone string) bool
 	// OthersLoad returns the load that the other daemons have in flight at a backend server.
 	OthersLoad func(server string, now time.Time) loadview.Load
+	// LastByte returns when a backend server last sent a byte of a response to any daemon.
+	LastByte func(server string, now time.Time) time.Time
 	// ReportStalled is called when a stalled backend server is ejected, with the load that all daemons have in flight there.
 	ReportStalled func(all loadview.Load)
 	// OthersStaleness returns the mean staleness of the load of the other daemons.
@@ -285,7 +287,7 @@
 		if srv.Draining || !plm.deps.InService(srv.Zone) {
 			continue
 		}
-		if req.Service.Engine != nil && !plm.serves(viw, req, srv) {
+		if req.Service.Engine != nil && !plm.serves(viw, req, srv, now) {
 			continue
 		}
 		if srv.Cold(now) && req.Service.ColdRate > 0 && !plm.coldLimiter.Allowed(srv.ID, plm.coldRate(req.Service), now) {
@@ -312,15 +314,6 @@
 	return min(one, two)
 }
 
-// serves reports whether an engine is the open head of a complete group that serves the model.
-func (plm *Placement) serves(viw *serverregistry.View, req Request, srv *serverregistry.Server) bool {
-	if srv.Membership.State != serverregistry.Open || srv.Membership.Rank != 0 || !slices.Contains(srv.Models, req.Model) {
-		return false
-	}
-	mod := req.RequestedModel()
-	return mod != nil && viw.ReadyMembers(srv.Membership) >= mod.VMs && !viw.HasDrainingMember(srv.Membership)
-}
-
 // drawCandidate returns the index of the backend server that the router draws at random by the scores, and the forecast
 // of its first token.
 func (plm *Placement) drawCandidate(req Request, srvs []*serverregistry.Server, all map[string]knownLoad, now time.Time) (int, time.Duration) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -70,6 +70,7 @@
 		InService:       func(zone string) bool { return !fix.out[zone] },
 		OthersLoad:      fix.viw.OthersLoad,
 		OthersStaleness: fix.viw.Staleness,
+		LastByte:        func(server string, _ time.Time) time.Time { return fix.trk.LastProgress(server) },
 		ReportStalled:   func(loadview.Load) {},
 		LimitShare:      func(string, string, time.Time) float64 { return 1 },
 		Seed:            func() uint64 { return seed },
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -154,6 +154,7 @@
 		InService:       func(zone string) bool { return !inv.Zone(zone).Out },
 		OthersLoad:      viw.OthersLoad,
 		OthersStaleness: viw.Staleness,
+		LastByte:        lastByte(trk, viw),
 		LimitShare: func(service, model string, now time.Time) float64 {
 			own := mtr.Rates(now)
 			return demand.Share(own, viw.SiteDemand(own, now), service, model, stc.daemonCount())
@@ -171,6 +172,18 @@
 	return placement.New(cfg, dps, trk, cold, lim, clk)
 }
 
+// lastByte returns a function for when a backend server last sent a byte of a response to this daemon or, as far as
+// announced, to another one.
+func lastByte(trk *outlier.Tracker, viw *loadview.View) func(server string, now time.Time) time.Time {
+	return func(server string, now time.Time) time.Time {
+		own, others := trk.LastProgress(server), viw.LastByte(server, now)
+		if own.After(others) {
+			return own
+		}
+		return others
+	}
+}
+
 func newRelay(
 	stc *storeCache,
 	plm *placement.Placement,
@@ -235,15 +248,19 @@
 	gsp *gossip,
 	mtr *demand.Meter,
 	viw *loadview.View,
+	trk *outlier.Tracker,
 	les *lease.Lease,
 	inv *inventory.Inventory,
 	wrt *allocationwriter.Writer,
+	met metrics.Registry,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *sitecontrol.Controller {
 	cfg := sitecontrol.Config{
 		StallTime: set.Site.StallTime,
 	}
+	held := metrics.GetOrRegisterGauge("UnregisteredGroupsHeld", met)
+	lost := metrics.GetOrRegisterCounter("UnregisteredGroupsLost", met)
 	dps := sitecontrol.Dependencies{
 		Table:            stc.activeTable,
 		Registrations:    func() *serverregistry.View { return stc.registry.View() },
@@ -259,6 +276,9 @@
 			}
 			return dem
 		},
+		LastByte:           lastByte(trk, viw),
+		ReportHeld:         func(groups int) { held.Update(int64(groups)) },
+		ReportHeldLost:     func() { lost.Inc(1) },
 		BeforeFirstRequest: func() bool { return set.Site.FirstStart && !rly.HasServedRequests() },
 		SendOrder: func(ctx context.Context, ord orderplan.Order, fence uint64) error {
 			ver, err := sendOrder(ctx, sel, ord, fence)
--- a/internal/sitecontrol/controller.go
+++ b/internal/sitecontrol/controller.go
@@ -60,6 +60,12 @@
 	CurrentFor func(span time.Duration) bool
 	// Demand returns the work that callers ask of each model of a service, in VMs that it keeps busy.
 	Demand func(service string) map[string]float64
+	// LastByte returns when an engine last sent a byte of a response to any daemon.
+	LastByte func(server string, now time.Time) time.Time
+	// ReportHeld is called in each round with the number of groups that are not repaired although members are unregistered,
+	// because they send tokens, and ReportHeldLost when such a group is lost.
+	ReportHeld     func(groups int)
+	ReportHeldLost func()
 	// BeforeFirstRequest reports whether the site has just started and received no request yet. Loads of weights then
 	// slow nothing down: loads for groups are not limited, and prefetches have the wide limit startupPrefetchLimit.
 	BeforeFirstRequest func() bool
@@ -187,7 +193,8 @@
 func (ctr *Controller) controlService(ctx context.Context, svc *route.Service) {
 	now := ctr.clk.Now()
 	reg := ctr.deps.Registrations()
-	sit := ctr.obs.observe(svc, reg, ctr.inv, ctr.deps.Demand(svc.Name), now, ctr.deps.CurrentFor)
+	sit := ctr.obs.observe(svc, reg, ctr.inv, ctr.deps.Demand(svc.Name), now, ctr.deps.LastByte, ctr.deps.CurrentFor)
+	ctr.logHeld(sit)
 	if sit.mayPlan() {
 		ctr.writePlan(ctx, sit)
 	}
--- a/internal/sitecontrol/controller_test.go
+++ b/internal/sitecontrol/controller_test.go
@@ -84,7 +84,11 @@
 	servers map[string]serverregistry.Server
 	// neverLoads holds VMs that never finish loading weights.
 	neverLoads map[string]bool
-	orders     []orderplan.Order
+	// sendTokens is set if all groups send tokens, other than those of the heads in silentSince, which holds when these sent
+	// their last one.
+	sendTokens  bool
+	silentSince map[string]time.Time
+	orders      []orderplan.Order
 	// fences holds the fencing tokens of the orders.
 	fences []uint64
 }
@@ -98,6 +102,7 @@
 		storeCurrent: true,
 		servers:      map[string]serverregistry.Server{},
 		neverLoads:   map[string]bool{},
+		silentSince:  map[string]time.Time{},
 		tbl: route.New(route.Config{
 			Services: []route.Service{
 				{
@@ -221,6 +226,9 @@
 		ChecksLeaseOften:   func() bool { return true },
 		Demand:             func(string) map[string]float64 { return nil },
 		BeforeFirstRequest: func() bool { return false },
+		LastByte:           har.lastByte,
+		ReportHeld:         func(int) {},
+		ReportHeldLost:     func() {},
 		SendOrder:          har.execute,
 	}
 	cfg := sitecontrol.Config{
--- a/internal/sitecontrol/observer.go
+++ b/internal/sitecontrol/observer.go
@@ -44,6 +44,8 @@
 	rounds map[string]uint64
 	// arrivals holds, by fabric domain, the times of new registrations, oldest first.
 	arrivals map[string][]time.Time
+	// held holds the groups of each service that were alive with unregistered members in the last round.
+	held map[string]map[serverregistry.Membership]heldGroup
 }
 
 // observedVM holds what is known of a VM's engine process from earlier rounds.
@@ -114,8 +116,12 @@
 	zones       []string
 	domains     []sizing.Domain
 	domainIndex map[string]int
-	// missingIsLost is set if a missing registration means that the VM is lost.
+	// missingIsLost is set if a missing registration means that the VM is lost, unless its group is held.
 	missingIsLost bool
+	// held holds the groups that are alive with unregistered members, and confirmed those of them that sent a byte since the
+	// members were unregistered.
+	held      map[serverregistry.Membership]heldGroup
+	confirmed map[serverregistry.Membership]bool
 	// demand holds the measured work by model, in VMs that it keeps busy.
 	demand map[string]float64
 	// stillRegistering is set if a VM registered for the first time within startupSettleTime.
@@ -138,18 +144,20 @@
 		vms:      map[string]observedVM{},
 		rounds:   map[string]uint64{},
 		arrivals: map[string][]time.Time{},
+		held:     map[string]map[serverregistry.Membership]heldGroup{},
 	}
 }
 
 // observe records the registrations of a service and returns the state to plan from. The parameter demand holds the
-// measured work by model, in VMs that it keeps busy. currentFor reports whether the daemon's copies of the store have
-// been current for a time span.
+// measured work by model, in VMs that it keeps busy. lastByte returns when a server last sent a byte of a response, and
+// currentFor reports whether the daemon's copies of the store have been current for a time span.
 func (obs *observer) observe(
 	svc *route.Service,
 	reg *serverregistry.View,
 	inv *inventory.Inventory,
 	demand map[string]float64,
 	now time.Time,
+	lastByte func(server string, now time.Time) time.Time,
 	currentFor func(time.Duration) bool,
 ) *siteState {
 	sit := &siteState{
@@ -163,6 +171,11 @@
 		desiredGroups: map[string][]document.Group{},
 		vmIndex:       map[string]int{},
 		missingIsLost: currentFor(reregistrationTime),
+		held:          map[serverregistry.Membership]heldGroup{},
+		confirmed:     map[serverregistry.Membership]bool{},
+	}
+	if obs.held[svc.Name] == nil {
+		obs.held[svc.Name] = map[serverregistry.Membership]heldGroup{}
 	}
 	obs.rounds[svc.Name]++
 	obs.expireArrivals(now)
@@ -179,6 +192,11 @@
 			sit.domain(zone, alc.FabricDomain)
 		}
 	}
+	sit.findHeld(lastByte)
+	for _, srv := range sit.heldMembers() {
+		// A member that registers again is then no new arrival, for which the planning of its domain would wait.
+		obs.record(srv, now)
+	}
 	sit.planGroups()
 	return sit
 }
@@ -198,8 +216,11 @@
 	return &sit.domains[idx]
 }
 
-// intact reports whether every member of a group is registered and not draining.
+// intact reports whether every member of a group is registered and not draining, or the group is held.
 func (sit *siteState) intact(grp group.Group) bool {
+	if sit.isHeld(grp) {
+		return true
+	}
 	for _, mem := range grp.Members {
 		if srv, ok := sit.reg.Server(mem.VM); !ok || srv.Draining {
 			return false
@@ -308,7 +329,7 @@
 	for _, srv := range sit.reg.Service(sit.svc.Name) {
 		sit.coldStart = sit.coldStart && len(sit.localModels(srv)) == 0
 	}
-	for _, srv := range sit.reg.Service(sit.svc.Name) {
+	for _, srv := range append(sit.heldMembers(), sit.reg.Service(sit.svc.Name)...) {
 		if srv.FabricDomain == "" || srv.Draining {
 			continue
 		}
--- a/internal/sitecontrol/view.go
+++ b/internal/sitecontrol/view.go
@@ -40,7 +40,7 @@
 		for _, mem := range grp.Members {
 			if !known[mem.VM] {
 				known[mem.VM] = true
-				viw.VMs = append(viw.VMs, sit.missingMember(alc, mem))
+				viw.VMs = append(viw.VMs, sit.missingMember(alc, grp, mem))
 			}
 		}
 	}
@@ -67,14 +67,14 @@
 }
 
 // missingMember returns the state of a group member that is not registered.
-func (sit *siteState) missingMember(alc group.Allocation, mem group.Member) group.VMView {
+func (sit *siteState) missingMember(alc group.Allocation, grp group.Group, mem group.Member) group.VMView {
 	since, seen := sit.reg.RemovedAt(mem.VM)
 	return group.VMView{
 		Name:         mem.VM,
 		FabricDomain: alc.FabricDomain,
 		Address:      mem.Address,
 		// A registration that this daemon never saw has been missing since before the daemon started.
-		Lost: sit.missingIsLost && (!seen || sit.now.Sub(since) > missingGrace),
+		Lost: sit.missingIsLost && !sit.isHeld(grp) && (!seen || sit.now.Sub(since) > missingGrace),
 	}
 }
 
@@ -99,17 +99,14 @@
 }
 
 // groupState returns the state that the head of a group reports, NoGroup if it is not registered or reports another group,
-// and whether all members are ready.
+// and whether all members are ready or the group is held.
 func (sit *siteState) groupState(grp group.Group) (state serverregistry.MemberState, whole bool) {
-	own := serverregistry.Membership{
-		Group: grp.Name,
-		Epoch: grp.Fencing,
-	}
+	own := membership(grp)
 	head, ok := sit.reg.Server(grp.Members[0].VM)
 	if !ok || !head.Membership.SameGroup(own) {
 		return serverregistry.NoGroup, false
 	}
-	return head.Membership.State, sit.reg.ReadyMembers(own) >= len(grp.Members)
+	return head.Membership.State, sit.isRegistered(grp) || sit.isHeld(grp)
 }
 
 // chooseStandbys returns the model that each VM without weights in memory and without a group should load, by VM. It
--- a/internal/standin/emulator/simulation.go
+++ b/internal/standin/emulator/simulation.go
@@ -189,6 +189,7 @@
 		InService:       func(string) bool { return true },
 		OthersLoad:      dmn.loadView.OthersLoad,
 		OthersStaleness: dmn.loadView.Staleness,
+		LastByte:        dmn.loadView.LastByte,
 		ReportStalled:   func(loadview.Load) {},
 		LimitShare:      func(string, string, time.Time) float64 { return 1 / float64(sim.scenario.Daemons) },
 		Seed:            sim.rng.Uint64,
