Release held groups for repair by spares, one of a model at a time

A group that is held without end depends on members whose notice of leaving cannot be seen. After 10 s, twice the time until a registration expires, a held group is drained like one with a leaving member, and its unregistered members are replaced once it has completed its requests. Only groups whose domains have spares with the weights at hand are released, one of a model at a time; more only while the others carry the measured work. The last content of removed entries is kept for ten minutes, so that groups that cannot be released stay held.

Measured in a test: with two held groups and a spare in each domain, at most one is closed at a time and both serve again within 6 s of the first release.

--- a/internal/serverregistry/registry.go
+++ b/internal/serverregistry/registry.go
@@ -23,7 +23,7 @@
 	mu      sync.Mutex
 	servers map[string]Server
 	// removedAt holds when the removal of an entry was seen, so that the planner can wait for the entry to return, and
-	// lastSeen the content that the entry had last. Both are kept for removedRetention.
+	// lastSeen the content that the entry had last. Both are kept for lastSeenRetention.
 	removedAt map[string]time.Time
 	lastSeen  map[string]Server
 	// stopping holds the processes that are about to stop, and when this daemon learned of that.
@@ -202,8 +202,13 @@
 	ExpiryTime = 5 * time.Second
 )
 
-// removedRetention is the time after which a removed entry is forgotten. Groups are repaired long before that.
-const removedRetention = time.Minute
+const (
+	// removedRetention is the time after which the removal of a process is forgotten. Groups are repaired long before that.
+	removedRetention = time.Minute
+	// lastSeenRetention is the time for which the last content of removed entries is kept. It bounds the memory; members
+	// that have been unregistered for so long count as lost.
+	lastSeenRetention = 10 * time.Minute
+)
 
 // publish makes the current state the new view. The caller holds the lock.
 func (reg *Registry) publish() {
@@ -223,7 +228,7 @@
 		}
 	}
 	for id, when := range reg.removedAt {
-		if last.Sub(when) > removedRetention {
+		if last.Sub(when) > lastSeenRetention {
 			delete(reg.removedAt, id)
 			delete(reg.lastSeen, id)
 			continue
--- a/internal/sitecontrol/controller.go
+++ b/internal/sitecontrol/controller.go
@@ -194,8 +194,9 @@
 	now := ctr.clk.Now()
 	reg := ctr.deps.Registrations()
 	sit := ctr.obs.observe(svc, reg, ctr.inv, ctr.deps.Demand(svc.Name), now, ctr.deps.LastByte, ctr.deps.CurrentFor)
-	ctr.logHeld(sit)
+	ctr.updateHeld(sit)
 	if sit.mayPlan() {
+		ctr.releaseHeld(sit)
 		ctr.writePlan(ctx, sit)
 	}
 	viw := orderplan.View{
--- a/internal/sitecontrol/controller_test.go
+++ b/internal/sitecontrol/controller_test.go
@@ -78,6 +78,8 @@
 	clk          *clockwork.FakeClock
 	tbl          *route.Table
 	storeCurrent bool
+	// demand holds the measured work by model.
+	demand map[string]float64
 
 	mu      sync.Mutex
 	version uint64
@@ -224,7 +226,7 @@
 		Registrations:      har.reg.View,
 		CurrentFor:         func(time.Duration) bool { return har.storeCurrent },
 		ChecksLeaseOften:   func() bool { return true },
-		Demand:             func(string) map[string]float64 { return nil },
+		Demand:             func(string) map[string]float64 { return har.demand },
 		BeforeFirstRequest: func() bool { return false },
 		LastByte:           har.lastByte,
 		ReportHeld:         func(int) {},
--- a/internal/sitecontrol/held.go
+++ b/internal/sitecontrol/held.go
@@ -18,6 +18,8 @@
 	group        group.Group
 	unregistered int
 	since        time.Time
+	// released is set once the group is to be drained and repaired.
+	released bool
 }
 
 // findHeld records the groups of a model with unregistered members that are alive, or whose next byte is still due. Their
@@ -50,10 +52,12 @@
 		Registered:   sit.reg.ReadyMembers(own),
 		Unregistered: ums.Number,
 		RemovedAt:    ums.RemovedAt,
-		HeadOpen:     head.Membership.State == serverregistry.Open,
-		Draining:     sit.reg.HasDrainingMember(own),
-		LastByte:     func() time.Time { return lastByte(head.ID, sit.now) },
-		MaxSilence:   groupliveness.MaxSilence(sit.svc.Engine, mod),
+		HeadOpen: head.Membership.State == serverregistry.Open ||
+			// A group that is released for repair completes its requests first.
+			(head.Membership.State == serverregistry.Closing && sit.isReleased(grp)),
+		Draining:   sit.reg.HasDrainingMember(own),
+		LastByte:   func() time.Time { return lastByte(head.ID, sit.now) },
+		MaxSilence: groupliveness.MaxSilence(sit.svc.Engine, mod),
 	}
 	ver := liv.Verdict(sit.now)
 	if ver == groupliveness.Lost {
@@ -97,8 +101,8 @@
 	return srvs
 }
 
-// logHeld logs which groups are held, and for those that no longer are, why. It reports the number of held groups.
-func (ctr *Controller) logHeld(sit *siteState) {
+// updateHeld records which groups are held, and logs each change with its cause. It reports the number of held groups.
+func (ctr *Controller) updateHeld(sit *siteState) {
 	held := ctr.obs.held[sit.svc.Name]
 	for own, hel := range held {
 		if _, ok := sit.held[own]; ok {
@@ -106,12 +110,15 @@
 		}
 		delete(held, own)
 		fields := append(hel.fields(), zap.Duration("heldFor", sit.now.Sub(hel.since)))
-		if sit.isRegistered(hel.group) {
+		switch {
+		case sit.isRegistered(hel.group):
 			ctr.log.Info("all members of a held group are registered again", fields...)
-			continue
+		case hel.released:
+			ctr.log.Info("a held group is drained; replacing its unregistered members", fields...)
+		default:
+			ctr.deps.ReportHeldLost()
+			ctr.log.Info("a held group is lost: it sends nothing, or a member or the head left it", fields...)
 		}
-		ctr.deps.ReportHeldLost()
-		ctr.log.Info("a held group is lost: it sends nothing, or a member or the head left it", fields...)
 	}
 	for own, hel := range sit.held {
 		if _, ok := held[own]; ok || !sit.confirmed[own] {
--- a/internal/sitecontrol/held_test.go
+++ b/internal/sitecontrol/held_test.go
@@ -138,3 +138,36 @@
 	har.runFor(ctr, 2*time.Second)
 	qt.Assert(tst, har.joined()[member.ID]+har.joined()[head], qt.Equals, "aa")
 }
+
+// Guards against groups that wait for their members for good, and against several groups of a model that are repaired at
+// a time under load: after a while one group is drained and repaired by a spare, and the other one after it serves again.
+func TestHeldGroupsAreReleasedOneAtATime(tst *testing.T) {
+	har := newHarness(tst)
+	har.sendTokens = true
+	har.demand = map[string]float64{"large": 16, "small": 8}
+	ctr := har.controller("entry-1")
+	har.runFor(ctr, 20*time.Second)
+	for _, zone := range []string{"a", "b"} {
+		har.addVM("spare-"+zone, zone)
+		har.mu.Lock()
+		spare := har.servers["spare-"+zone]
+		spare.StagedModels = []string{"large"}
+		har.setServer(spare)
+		har.mu.Unlock()
+	}
+	har.runFor(ctr, 3*time.Second)
+	open := har.openGroups()
+	har.unregister("a", "large")
+	har.unregister("b", "large")
+	har.forgetOrders()
+	har.runFor(ctr, 9*time.Second)
+	qt.Assert(tst, har.joined(), qt.HasLen, 0)
+	fewest := open["large"]
+	for range 40 {
+		har.runFor(ctr, 150*time.Millisecond)
+		fewest = min(fewest, har.openGroups()["large"])
+	}
+	qt.Assert(tst, fewest, qt.Equals, open["large"]-1)
+	qt.Assert(tst, har.openGroups(), qt.DeepEquals, open)
+	qt.Assert(tst, har.joined()["spare-a"]+har.joined()["spare-b"], qt.Equals, "ab")
+}
--- a/internal/sitecontrol/view.go
+++ b/internal/sitecontrol/view.go
@@ -75,6 +75,8 @@
 		Address:      mem.Address,
 		// A registration that this daemon never saw has been missing since before the daemon started.
 		Lost: sit.missingIsLost && !sit.isHeld(grp) && (!seen || sit.now.Sub(since) > missingGrace),
+		// A group that is released for repair is drained first, like one with a leaving member.
+		Leaving: sit.isHeld(grp) && sit.isReleased(grp),
 	}
 }
 
