Send to groups whose next token after a removal is still due

The byte that proves a group alive after a removal reaches a daemon without a request there over two hubs, by the intervals of announcements 0.3 to 0.5 s later (computed), and each removal of a further member starts that again. Placement now serves a group that sent a byte within MaxSilence before the removal until that time is over. A group with a failed member has been silent for at least two heartbeats, 2.4 s, when its removal is known, so it never gets there; MaxSilence is bounded to 2 s for that reason.

--- a/internal/groupliveness/group.go
+++ b/internal/groupliveness/group.go
@@ -13,6 +13,9 @@
 	// announcementDelay is the time until a daemon knows of a byte that another one received: three hops over hubs, each
 	// of up to one interval of announcements, and one lost frame.
 	announcementDelay = 600 * time.Millisecond
+	// silenceLimit bounds MaxSilence below the two heartbeats of 1.2 s for which a group with a failed member has been silent
+	// at least when the registration of the member is removed.
+	silenceLimit = 2 * time.Second
 )
 
 // Verdict says whether a group has all its members.
@@ -68,7 +71,7 @@
 }
 
 // MaxSilence returns the value of Group.MaxSilence for a model: several pauses between two events of a full batch that
-// also reads a prompt, and the time until a byte is known to all daemons.
+// also reads a prompt, and the time until a byte is known to all daemons; at most silenceLimit.
 func MaxSilence(eng *route.Engine, mod *route.Model) time.Duration {
 	step := eng.BaseStepTime + time.Duration(eng.Slots)*eng.StepTimePerRequest
 	pause := time.Duration(max(1, eng.StepsPerEvent)) * step
@@ -78,5 +81,5 @@
 	if mod.TimeFactor > 0 {
 		pause = time.Duration(float64(pause) * mod.TimeFactor)
 	}
-	return eventsPerSilence*pause + announcementDelay
+	return min(eventsPerSilence*pause+announcementDelay, silenceLimit)
 }
--- a/internal/placement/serves.go
+++ b/internal/placement/serves.go
@@ -9,7 +9,9 @@
 )
 
 // serves reports whether an engine is the open head of a group that serves the model and has all its members: each is
-// registered, or the group sends tokens without it being registered.
+// registered, or the group sends tokens without it being registered. A group that sent tokens until the removal serves
+// while the next one is due: most daemons have no request at a given group and learn of its tokens after several hundred
+// milliseconds, and a group with a failed member has been silent for longer than that when the removal is known.
 func (plm *Placement) serves(viw *serverregistry.View, req Request, srv *serverregistry.Server, now time.Time) bool {
 	mod := req.RequestedModel()
 	if mod == nil || srv.Membership.Rank != 0 || !slices.Contains(srv.Models, req.Model) {
@@ -26,5 +28,5 @@
 		LastByte:     func() time.Time { return plm.deps.LastByte(srv.ID, now) },
 		MaxSilence:   groupliveness.MaxSilence(req.Service.Engine, mod),
 	}
-	return grp.Verdict(now) == groupliveness.Alive
+	return grp.Verdict(now) != groupliveness.Lost
 }
