--- a/internal/sitecontrol/controller_test.go
+++ b/internal/sitecontrol/controller_test.go
@@ -78,13 +78,19 @@
 	clk          *clockwork.FakeClock
 	tbl          *route.Table
 	storeCurrent bool
+	// demand holds the measured work by model.
+	demand map[string]float64
 
 	mu      sync.Mutex
 	version uint64
 	servers map[string]serverregistry.Server
 	// neverLoads holds VMs that never finish loading weights.
 	neverLoads map[string]bool
-	orders     []orderplan.Order
+	// sendTokens is set if all groups send tokens, other than those of the heads in silentSince, which holds when these sent
+	// their last one.
+	sendTokens  bool
+	silentSince map[string]time.Time
+	orders      []orderplan.Order
 	// fences holds the fencing tokens of the orders.
 	fences []uint64
 }
@@ -98,6 +104,7 @@
 		storeCurrent: true,
 		servers:      map[string]serverregistry.Server{},
 		neverLoads:   map[string]bool{},
+		silentSince:  map[string]time.Time{},
 		tbl: route.New(route.Config{
 			Services: []route.Service{
 				{
@@ -219,8 +226,11 @@
 		Registrations:      har.reg.View,
 		CurrentFor:         func(time.Duration) bool { return har.storeCurrent },
 		ChecksLeaseOften:   func() bool { return true },
-		Demand:             func(string) map[string]float64 { return nil },
+		Demand:             func(string) map[string]float64 { return har.demand },
 		BeforeFirstRequest: func() bool { return false },
+		LastByte:           har.lastByte,
+		ReportHeld:         func(int) {},
+		ReportHeldLost:     func() {},
 		SendOrder:          har.execute,
 	}
 	cfg := sitecontrol.Config{
