Bound what clients send beside their requests in progress

Cause: while a request is in progress its connection is not read, so that the kernel holds up to the whole receive buffer for each client that sends on. Change: once a second, when a request begins, the guard adds up the unread bytes of connections from which nothing was read since the last check, and closes those with the most while the sum exceeds MaxUnread (half of the memory for requests).

--- a/internal/edgelimits/edgelimits.go
+++ b/internal/edgelimits/edgelimits.go
@@ -31,6 +31,7 @@
 	cfg := listening.GuardConfig{
 		MaxConnections: maxConnections(set.Requests.MaxConnections),
 		SocketBuffer:   set.Requests.SocketBuffer,
+		MaxUnread:      set.MaxUnreadBytes(),
 		WriteTimeout:   set.Requests.WriteTimeout,
 	}
 	return listening.NewGuard(cfg, bud, met, clk, log)
--- a/internal/listening/conn.go
+++ b/internal/listening/conn.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/callermemory"
+	"github.com/cumintally/cumintally/internal/socket"
 )
 
 // headerCost is the number of bytes of memory for a byte of headers: many short fields occupy about four times their size once they
@@ -33,6 +34,8 @@
 	inProgress bool
 	since      time.Time
 	gone       bool
+	// receivedBefore is received at the last call of unread, which the guard's lock guards.
+	receivedBefore int64
 }
 
 func newConn(grd *Guard, raw net.Conn) *conn {
@@ -84,6 +87,26 @@
 	return num, err
 }
 
+// unread returns the number of received bytes that were not read, 0 if any were read since the last call.
+func (con *conn) unread() int64 {
+	got := con.received.Load()
+	moved := got != con.receivedBefore
+	con.receivedBefore = got
+	tcp, ok := con.Conn.(*net.TCPConn)
+	if moved || !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	num, err := socket.Unread(raw)
+	if err != nil {
+		return 0
+	}
+	return int64(num)
+}
+
 // CloseWrite closes the sending side, so that a client still receives what was sent before the connection is closed.
 func (con *conn) CloseWrite() error {
 	if tcp, ok := con.Conn.(*net.TCPConn); ok {
--- a/internal/listening/guard.go
+++ b/internal/listening/guard.go
@@ -26,6 +26,8 @@
 	MaxConnections int
 	// SocketBuffer is the size in bytes of the kernel's buffers for received and for sent data of a connection.
 	SocketBuffer int
+	// MaxUnread bounds the sum in bytes of what was received on connections from which nothing was read for unreadInterval.
+	MaxUnread int64
 	// WriteTimeout bounds the time for which a client reads nothing of a response.
 	WriteTimeout time.Duration
 }
@@ -40,10 +42,12 @@
 	openGauge     metrics.Gauge
 	closedCounter metrics.Counter
 	slowCounter   metrics.Counter
+	unreadCounter metrics.Counter
 
 	mu          sync.Mutex
 	connections map[*conn]struct{}
 	loggedAt    time.Time
+	checkedAt   time.Time
 }
 
 // NewGuard returns a guard that counts request headers in budget. Its metrics are registered in registry.
@@ -56,7 +60,9 @@
 		openGauge:     metrics.GetOrRegisterGauge("CallerConnections", registry),
 		closedCounter: metrics.GetOrRegisterCounter("CallerConnectionsClosed", registry),
 		slowCounter:   metrics.GetOrRegisterCounter("CallerWritesTimedOut", registry),
+		unreadCounter: metrics.GetOrRegisterCounter("CallerUnreadClosed", registry),
 		connections:   map[*conn]struct{}{},
+		checkedAt:     clock.Now(),
 	}
 }
 
@@ -99,6 +105,7 @@
 		if !con.beginRequest() {
 			panic(http.ErrAbortHandler)
 		}
+		grd.checkUnread()
 		next.ServeHTTP(wrt, req)
 	})
 }
--- a/internal/listening/guard_test.go
+++ b/internal/listening/guard_test.go
@@ -52,6 +52,7 @@
 		Guard: listening.NewGuard(listening.GuardConfig{
 			MaxConnections: connections,
 			SocketBuffer:   64 << 10,
+			MaxUnread:      memory / 16,
 			WriteTimeout:   100 * time.Millisecond,
 		}, bud, edg.metrics, clockwork.NewRealClock(), zap.NewNop()),
 		Handler: http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
@@ -151,6 +152,21 @@
 	qt.Check(tst, status(stalled), qt.Equals, http.StatusServiceUnavailable)
 }
 
+// Guards against clients that fill the kernel's buffers beside a request in progress, which is waiting for its response.
+func TestUnreadDataIsBounded(tst *testing.T) {
+	edg := newEdge(tst, 20, func(_ http.ResponseWriter, req *http.Request) {
+		if req.Header.Get("Wait") != "" {
+			<-req.Context().Done()
+		}
+	})
+	for range 8 {
+		con := edg.dial(strings.Replace(wholeOne, "Host", "Wait: 1\r\nHost", 1))
+		go func() { _, _ = io.Copy(con, strings.NewReader(strings.Repeat("x", memory))) }()
+	}
+	closed := metrics.GetOrRegisterCounter("CallerUnreadClosed", edg.metrics)
+	edg.eventually(func() bool { return status(edg.dial(wholeOne)) == http.StatusOK && closed.Count() > 0 })
+}
+
 // Guards against clients that do not read: the daemon keeps what it has to send for them, and their descriptors.
 func TestClientThatDoesNotReadIsClosed(tst *testing.T) {
 	failed := make(chan error, 1)
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -55,6 +55,8 @@
 		newKey("Requests", "MaxConnections", "0", "most connections of callers, 0 for half of the descriptors",
 			intValue(&set.Requests.MaxConnections, 0, 1<<20)),
 		newKey("Requests", "SocketBuffer", "65536", "bytes of each kernel buffer of a caller's connection", intValue(&set.Requests.SocketBuffer, 4096, 64<<20)),
+		newKey("Requests", "MaxUnread", "0", "megabytes that callers send beside requests in progress, 0 for half of MemoryBudget",
+			floatValue(&set.Requests.MaxUnread, 0, 1<<20)),
 		newKey("Requests", "WriteTimeout", "30s", "longest time for which a caller may read nothing of a response",
 			durationValue(&set.Requests.WriteTimeout, time.Second, time.Hour)),
 		newKey("Bookings", "Buckets", "32", "number of idempotency buckets of a new environment; fixed by its first keyed call",
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,6 +98,9 @@
 	MaxConnections int
 	// SocketBuffer is the size in bytes of each of the kernel's two buffers of a caller's connection.
 	SocketBuffer int
+	// MaxUnread is the memory in megabytes for data that callers send beside their requests in progress, 0 for half of the memory for
+	// requests.
+	MaxUnread float64
 	// WriteTimeout is the longest time for which a caller may read nothing of a response.
 	WriteTimeout time.Duration
 }
@@ -112,6 +115,14 @@
 	budgetBodies = 3
 )
 
+// MaxUnreadBytes returns the bound in bytes of the data that callers send beside their requests in progress.
+func (set *Settings) MaxUnreadBytes() int64 {
+	if set.Requests.MaxUnread > 0 {
+		return int64(set.Requests.MaxUnread * (1 << 20))
+	}
+	return set.MemoryBudgetBytes() / 2
+}
+
 // MemoryBudgetBytes returns the memory in bytes for the requests of all callers in progress.
 func (set *Settings) MemoryBudgetBytes() int64 {
 	size := set.Requests.MemoryBudget
--- a/internal/socket/timeout.go
+++ b/internal/socket/timeout.go
@@ -41,3 +41,14 @@
 		return optErr
 	}
 }
+
+// Unread returns the number of bytes that the kernel has received on a connection and the process has not read.
+func Unread(con syscall.RawConn) (int, error) {
+	num := 0
+	var optErr error
+	err := con.Control(func(fd uintptr) { num, optErr = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	if err != nil {
+		return 0, err
+	}
+	return num, optErr
+}
