--- a/internal/callermemory/claim.go
+++ b/internal/callermemory/claim.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Claim is the memory that one request occupies. Its methods may be called on a nil claim, which counts nothing.
+// Claim is the memory that one request occupies. Grow, Complete and Close may be called on a nil claim, which counts nothing.
 type Claim struct {
 	budget *Budget
 	caller string
@@ -41,13 +41,6 @@
 	return !clm.dropped
 }
 
-// Dropped reports whether the request was dropped.
-func (clm *Claim) Dropped() bool {
-	clm.budget.mu.Lock()
-	defer clm.budget.mu.Unlock()
-	return clm.dropped
-}
-
 // Close gives the memory back. It may be called twice.
 func (clm *Claim) Close() {
 	if clm == nil {
