--- a/internal/socket/timeout.go
+++ b/internal/socket/timeout.go
@@ -22,3 +22,33 @@
 		return optErr
 	}
 }
+
+// Buffers returns a Control function for net.ListenConfig that sets the size in bytes of the kernel's buffers of each connection, for
+// received data and for data to be sent. Without it, the kernel grows them to several megabytes.
+func Buffers(size int) func(network, adr string, con syscall.RawConn) error {
+	return func(_, _ string, con syscall.RawConn) error {
+		var optErr error
+		err := con.Control(func(fd uintptr) {
+			for _, opt := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
+				if err := unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, opt, size); err != nil {
+					optErr = err
+				}
+			}
+		})
+		if err != nil {
+			return err
+		}
+		return optErr
+	}
+}
+
+// Unread returns the number of bytes that the kernel has received on a connection and the process has not read.
+func Unread(con syscall.RawConn) (int, error) {
+	num := 0
+	var optErr error
+	err := con.Control(func(fd uintptr) { num, optErr = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	if err != nil {
+		return 0, err
+	}
+	return num, optErr
+}
