Count requests to groups with unregistered members

The metric UnregisteredGroupsChosen tells at each daemon how much is sent to groups that placement keeps although registrations of members are removed.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -69,6 +69,8 @@
 	OthersLoad func(server string, now time.Time) loadview.Load
 	// LastByte returns when a backend server last sent a byte of a response to any daemon.
 	LastByte func(server string, now time.Time) time.Time
+	// ReportUnregistered is called when a group is chosen some of whose members are not registered.
+	ReportUnregistered func()
 	// ReportStalled is called when a stalled backend server is ejected, with the load that all daemons have in flight there.
 	ReportStalled func(all loadview.Load)
 	// OthersStaleness returns the mean staleness of the load of the other daemons.
@@ -201,6 +203,7 @@
 			healthy = slices.Delete(slices.Clone(healthy), idx, idx+1)
 			continue
 		}
+		plm.reportUnregistered(srv)
 		began, release := plm.countRequest(request, srv.ID, now)
 		return Pick{
 			Server:        srv,
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -28,6 +28,8 @@
 	now time.Time
 	clk *clockwork.FakeClock
 	svc *route.Service
+	// unregistered is the number of choices of groups with unregistered members.
+	unregistered int
 }
 
 func newFixture() *fixture {
@@ -66,14 +68,15 @@
 	}
 	fix.clk = clockwork.NewFakeClockAt(fix.now)
 	dps := placement.Dependencies{
-		Registrations:   fix.reg.View,
-		InService:       func(zone string) bool { return !fix.out[zone] },
-		OthersLoad:      fix.viw.OthersLoad,
-		OthersStaleness: fix.viw.Staleness,
-		LastByte:        func(server string, _ time.Time) time.Time { return fix.trk.LastProgress(server) },
-		ReportStalled:   func(loadview.Load) {},
-		LimitShare:      func(string, string, time.Time) float64 { return 1 },
-		Seed:            func() uint64 { return seed },
+		Registrations:      fix.reg.View,
+		InService:          func(zone string) bool { return !fix.out[zone] },
+		OthersLoad:         fix.viw.OthersLoad,
+		OthersStaleness:    fix.viw.Staleness,
+		LastByte:           func(server string, _ time.Time) time.Time { return fix.trk.LastProgress(server) },
+		ReportUnregistered: func() { fix.unregistered++ },
+		ReportStalled:      func(loadview.Load) {},
+		LimitShare:         func(string, string, time.Time) float64 { return 1 },
+		Seed:               func() uint64 { return seed },
 	}
 	cfg := placement.Config{
 		AvailabilityZone: "a",
--- a/internal/placement/serves.go
+++ b/internal/placement/serves.go
@@ -30,3 +30,10 @@
 	}
 	return grp.Verdict(now) != groupliveness.Lost
 }
+
+// reportUnregistered reports the choice of a group if some of its members are not registered.
+func (plm *Placement) reportUnregistered(head *serverregistry.Server) {
+	if plm.deps.Registrations().UnregisteredMembers(head.Membership).Number > 0 {
+		plm.deps.ReportUnregistered()
+	}
+}
--- a/internal/placement/serves_test.go
+++ b/internal/placement/serves_test.go
@@ -55,4 +55,5 @@
 	fix.register("alive-1", "alive", "a", 1, serverregistry.Ready)
 	_, err = fix.counts(1, 0)
 	qt.Assert(tst, err, qt.IsNil)
+	qt.Assert(tst, fix.unregistered, qt.Equals, 10)
 }
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -141,20 +141,23 @@
 	cold *coldlimit.Limiter,
 	lim *serverlimit.Limiter,
 	sel *serverpath.Selector,
+	met metrics.Registry,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *placement.Placement {
+	unregistered := metrics.GetOrRegisterCounter("UnregisteredGroupsChosen", met)
 	cfg := placement.Config{
 		AvailabilityZone: set.Entry.AvailabilityZone,
 		ColdExcess:       set.Site.ColdExcess,
 		ColdReserve:      set.Site.ColdReserve,
 	}
 	dps := placement.Dependencies{
-		Registrations:   stc.registry.View,
-		InService:       func(zone string) bool { return !inv.Zone(zone).Out },
-		OthersLoad:      viw.OthersLoad,
-		OthersStaleness: viw.Staleness,
-		LastByte:        lastByte(trk, viw),
+		Registrations:      stc.registry.View,
+		InService:          func(zone string) bool { return !inv.Zone(zone).Out },
+		OthersLoad:         viw.OthersLoad,
+		OthersStaleness:    viw.Staleness,
+		LastByte:           lastByte(trk, viw),
+		ReportUnregistered: func() { unregistered.Inc(1) },
 		LimitShare: func(service, model string, now time.Time) float64 {
 			own := mtr.Rates(now)
 			return demand.Share(own, viw.SiteDemand(own, now), service, model, stc.daemonCount())
--- a/internal/standin/emulator/simulation.go
+++ b/internal/standin/emulator/simulation.go
@@ -190,9 +190,11 @@
 		OthersLoad:      dmn.loadView.OthersLoad,
 		OthersStaleness: dmn.loadView.Staleness,
 		LastByte:        dmn.loadView.LastByte,
-		ReportStalled:   func(loadview.Load) {},
-		LimitShare:      func(string, string, time.Time) float64 { return 1 / float64(sim.scenario.Daemons) },
-		Seed:            sim.rng.Uint64,
+		// Groups of the simulation have one registration.
+		ReportUnregistered: func() {},
+		ReportStalled:      func(loadview.Load) {},
+		LimitShare:         func(string, string, time.Time) float64 { return 1 / float64(sim.scenario.Daemons) },
+		Seed:               sim.rng.Uint64,
 	}
 	if sim.policy.IgnoreStaleness {
 		dps.OthersStaleness = func(time.Time) time.Duration { return 0 }
