Correct forecasts of the first token by observed errors

Cause: the step model that the configuration publishes lacks the fixed time of a first token.

Change: internal/firsttoken averages the difference between the measured and the modelled time of this daemon's own first sends, by service, model and three load bands: the interquartile mean of the latest 32, none older than a minute, zero below 8, and at most 400 ms. Placement adds it to its forecasts and to that of an idle engine. It is on for services whose engines have a step model. Remaining errors are the histogram ForecastErrorMilliseconds; the correction and its spread are logged where a request ends.

--- /dev/null
+++ b/internal/placement/firsttoken_test.go
@@ -0,0 +1,53 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/serverregistry"
+)
+
+// Guards against forecasts that repeat the error of earlier ones. First sends of which the response came 100 ms later than
+// modelled must raise the forecast and that of an idle group by as much; further sends of a request, which may have met a
+// failure, must not.
+func TestForecastIncludesTheErrorOfEarlierOnes(tst *testing.T) {
+	fix := newFixture()
+	fix.group("one", "a", serverregistry.Ready)
+	idle := time.Duration(0)
+	choose := func(firstSend bool) placement.Pick {
+		pck, err := fix.plm.Choose(placement.Request{
+			Service:        fix.svc,
+			Model:          "recipes",
+			PromptTokens:   1000,
+			ExpectedTokens: 100,
+			FirstSend:      firstSend,
+			MaxUsefulForecast: func(idleForecast time.Duration) time.Duration {
+				idle = idleForecast
+				return time.Minute
+			},
+		}, fix.clk.Now())
+		qt.Assert(tst, err, qt.IsNil)
+		return pck
+	}
+	modelled := choose(true).Forecast
+	qt.Assert(tst, modelled, qt.Equals, idle)
+	for num := range 24 {
+		pck := choose(num >= 12)
+		delay := pck.Forecast - pck.Correction.Mean + 100*time.Millisecond
+		if num < 12 {
+			delay += 200 * time.Millisecond
+		}
+		fix.clk.Advance(delay)
+		pck.ResponseBegan()
+		fix.clk.Advance(time.Second)
+		pck.ResponseBegan()
+		pck.Release()
+	}
+	pck := choose(true)
+	qt.Assert(tst, pck.Correction.Mean, qt.Equals, 100*time.Millisecond)
+	qt.Assert(tst, idle, qt.Equals, modelled+100*time.Millisecond)
+	qt.Assert(tst, pck.Forecast > idle, qt.IsTrue)
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -11,6 +11,7 @@
 
 	"github.com/cumintally/cumintally/internal/admission"
 	"github.com/cumintally/cumintally/internal/coldlimit"
+	"github.com/cumintally/cumintally/internal/firsttoken"
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/outlier"
 	"github.com/cumintally/cumintally/internal/route"
@@ -73,6 +74,10 @@
 	OthersStaleness func(now time.Time) time.Duration
 	// LimitShare returns the share of this daemon in the requests that all daemons send for a model of a service.
 	LimitShare func(service, model string, now time.Time) float64
+	// FirstTokenError returns by how much first tokens come later than modelled at groups of which the share load of the
+	// slots is taken, and RecordFirstToken records a response that began.
+	FirstTokenError  func(key firsttoken.Key, load float64, now time.Time) firsttoken.Error
+	RecordFirstToken func(observation firsttoken.Observation, now time.Time)
 	// Seed returns the seed of the random draws of a router.
 	Seed func() uint64
 }
@@ -89,6 +94,8 @@
 	// MaxUsefulForecast returns the longest forecast of the first token at which the request is still worth sending, given
 	// idleForecast, the forecast for an idle engine. If it is nil, the request is sent at any forecast.
 	MaxUsefulForecast func(idleForecast time.Duration) time.Duration
+	// FirstSend is set if the request was not sent before, so that its response tells how good the forecast was.
+	FirstSend bool
 	// Avoid holds the IDs of backend servers that failed the request.
 	Avoid []string
 }
@@ -99,8 +106,10 @@
 	Server        *serverregistry.Server
 	ResponseBegan func()
 	Release       func()
-	// Forecast is the expected time to the first token, 0 for plain services.
-	Forecast time.Duration
+	// Forecast is the expected time to the first token, 0 for plain services. It includes Correction, the error that
+	// earlier forecasts had.
+	Forecast   time.Duration
+	Correction firsttoken.Error
 	// UsualTime is the mean time that requests of the same service and model are in flight, 0 if it is not known.
 	UsualTime time.Duration
 	// Candidates is the number of backend servers that were considered.
@@ -181,11 +190,12 @@
 		healthy = candidates
 	}
 	for len(healthy) > 0 {
-		idx, forecast := plm.drawCandidate(request, healthy, loads, now)
-		srv := healthy[idx]
-		if plm.tooLate(&request, forecast) {
+		idx, exp := plm.drawCandidate(request, healthy, loads, now)
+		srv, forecast := healthy[idx], exp.firstToken()
+		if plm.tooLate(&request, forecast, now) {
 			pck := Pick{
 				Forecast:   forecast,
+				Correction: exp.correction,
 				Candidates: len(candidates),
 			}
 			return pck, errors.Annotatef(ErrBusy, "service %s, model %q: first token expected after %v at the best of %d",
@@ -200,13 +210,18 @@
 			continue
 		}
 		began, release := plm.countRequest(request, srv.ID, now)
+		record := plm.firstTokenRecorder(&request, exp, now)
 		return Pick{
-			Server:        srv,
-			ResponseBegan: began,
-			Release:       release,
-			Forecast:      forecast,
-			UsualTime:     usualTime,
-			Candidates:    len(candidates),
+			Server: srv,
+			ResponseBegan: func() {
+				began()
+				record()
+			},
+			Release:    release,
+			Forecast:   forecast,
+			Correction: exp.correction,
+			UsualTime:  usualTime,
+			Candidates: len(candidates),
 		}, nil
 	}
 	pck := Pick{
@@ -232,12 +247,11 @@
 }
 
 // tooLate reports whether the first token is forecast so late that the request is not worth sending.
-func (plm *Placement) tooLate(req *Request, forecast time.Duration) bool {
-	mod := req.RequestedModel()
-	if req.MaxUsefulForecast == nil || mod == nil {
+func (plm *Placement) tooLate(req *Request, forecast time.Duration, now time.Time) bool {
+	if req.MaxUsefulForecast == nil || req.RequestedModel() == nil {
 		return false
 	}
-	return forecast > req.MaxUsefulForecast(admission.Forecast(req.Service.Engine, mod, admission.Load{}, req.PromptTokens))
+	return forecast > req.MaxUsefulForecast(plm.expect(req, admission.Load{}, now).firstToken())
 }
 
 // ejectIfStalled reports whether a backend server is stalled, and ejects it if it is. A server is stalled if a response
@@ -323,7 +337,7 @@
 
 // drawCandidate returns the index of the backend server that the router draws at random by the scores, and the forecast
 // of its first token.
-func (plm *Placement) drawCandidate(req Request, srvs []*serverregistry.Server, all map[string]knownLoad, now time.Time) (int, time.Duration) {
+func (plm *Placement) drawCandidate(req Request, srvs []*serverregistry.Server, all map[string]knownLoad, now time.Time) (int, expectation) {
 	mod := req.RequestedModel()
 	views := make([]router.ReplicaView, 0, len(srvs))
 	loads := make([]admission.Load, 0, len(srvs))
@@ -362,10 +376,7 @@
 		rrq.Prefill = time.Duration(float64(req.PromptTokens) / eng.PrefillRate * float64(time.Second))
 	}
 	idx := rtr.Choose(rrq, views, now)
-	if mod == nil {
-		return idx, 0
-	}
-	return idx, admission.Forecast(req.Service.Engine, mod, loads[idx], req.PromptTokens)
+	return idx, plm.expect(&req, loads[idx], now)
 }
 
 func unreadOnly(lod admission.Load) admission.Load {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/cumintally/cumintally/internal/coldlimit"
+	"github.com/cumintally/cumintally/internal/firsttoken"
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/outlier"
 	"github.com/cumintally/cumintally/internal/placement"
@@ -23,6 +24,7 @@
 	viw *loadview.View
 	trk *outlier.Tracker
 	lim *serverlimit.Limiter
+	lrn *firsttoken.Learner
 	out map[string]bool
 	plm *placement.Placement
 	now time.Time
@@ -41,6 +43,7 @@
 		viw: loadview.New(),
 		trk: outlier.New(),
 		lim: serverlimit.New(func() float64 { return 0 }),
+		lrn: firsttoken.New(),
 		out: map[string]bool{},
 		now: time.Unix(1000, 0),
 		svc: &route.Service{
@@ -66,13 +69,15 @@
 	}
 	fix.clk = clockwork.NewFakeClockAt(fix.now)
 	dps := placement.Dependencies{
-		Registrations:   fix.reg.View,
-		InService:       func(zone string) bool { return !fix.out[zone] },
-		OthersLoad:      fix.viw.OthersLoad,
-		OthersStaleness: fix.viw.Staleness,
-		ReportStalled:   func(loadview.Load) {},
-		LimitShare:      func(string, string, time.Time) float64 { return 1 },
-		Seed:            func() uint64 { return seed },
+		Registrations:    fix.reg.View,
+		InService:        func(zone string) bool { return !fix.out[zone] },
+		OthersLoad:       fix.viw.OthersLoad,
+		OthersStaleness:  fix.viw.Staleness,
+		ReportStalled:    func(loadview.Load) {},
+		LimitShare:       func(string, string, time.Time) float64 { return 1 },
+		FirstTokenError:  fix.lrn.Error,
+		RecordFirstToken: func(obs firsttoken.Observation, now time.Time) { fix.lrn.Record(obs, now) },
+		Seed:             func() uint64 { return seed },
 	}
 	cfg := placement.Config{
 		AvailabilityZone: "a",
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -131,6 +131,8 @@
 			zap.Uint64("entryVersion", srv.Version),
 			zap.Int("candidates", run.pick.Candidates),
 			zap.Duration("forecast", run.pick.Forecast),
+			zap.Duration("correction", run.pick.Correction.Mean),
+			zap.Duration("correctionSpread", run.pick.Correction.Spread),
 		)
 	}
 	if run.blocked {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -254,6 +254,7 @@
 		ExpectedTokens:    expected,
 		StartWithin:       run.deadline.Sub(run.relay.clock.Now()),
 		MaxUsefulForecast: run.maxUsefulForecast(),
+		FirstSend:         run.sends == 0,
 		Avoid:             slices.Concat(run.failedServers, run.decliningServers),
 	}
 }
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -91,6 +91,11 @@
 	MeanOutputTokens int
 }
 
+// HasStepModel reports whether the times of the engine are known, so that the first token can be forecast.
+func (eng *Engine) HasStepModel() bool {
+	return eng.BaseStepTime > 0 && eng.PrefillRate > 0
+}
+
 // Model is a model that groups of VMs serve.
 type Model struct {
 	Name string
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -17,6 +17,7 @@
 	"github.com/cumintally/cumintally/internal/bootclock"
 	"github.com/cumintally/cumintally/internal/coldlimit"
 	"github.com/cumintally/cumintally/internal/demand"
+	"github.com/cumintally/cumintally/internal/firsttoken"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/lease"
 	"github.com/cumintally/cumintally/internal/loadview"
@@ -53,6 +54,7 @@
 	newPool,
 	newColdLimiter,
 	newServerLimiter,
+	firsttoken.New,
 	newBudget,
 	newRetryAccount,
 	loadview.New,
@@ -141,6 +143,8 @@
 	cold *coldlimit.Limiter,
 	lim *serverlimit.Limiter,
 	sel *serverpath.Selector,
+	lrn *firsttoken.Learner,
+	met metrics.Registry,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *placement.Placement {
@@ -158,7 +162,9 @@
 			own := mtr.Rates(now)
 			return demand.Share(own, viw.SiteDemand(own, now), service, model, stc.daemonCount())
 		},
-		Seed: rand.Uint64,
+		FirstTokenError:  lrn.Error,
+		RecordFirstToken: newFirstTokenRecorder(lrn, met, log),
+		Seed:             rand.Uint64,
 		ReportStalled: func(all loadview.Load) {
 			log.Named("placement").Info("an engine sends nothing although responses are due; ejecting it for a while",
 				zap.String("server", all.Server), zap.Int("requests", all.Requests),
--- a/internal/standin/emulator/simulation.go
+++ b/internal/standin/emulator/simulation.go
@@ -10,6 +10,7 @@
 
 	"github.com/cumintally/cumintally/internal/admission"
 	"github.com/cumintally/cumintally/internal/coldlimit"
+	"github.com/cumintally/cumintally/internal/firsttoken"
 	"github.com/cumintally/cumintally/internal/hub"
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/outlier"
@@ -184,14 +185,17 @@
 		loadView:  loadview.New(),
 		ejections: outlier.New(),
 	}
+	lrn := firsttoken.New()
 	dps := placement.Dependencies{
-		Registrations:   sim.registry.View,
-		InService:       func(string) bool { return true },
-		OthersLoad:      dmn.loadView.OthersLoad,
-		OthersStaleness: dmn.loadView.Staleness,
-		ReportStalled:   func(loadview.Load) {},
-		LimitShare:      func(string, string, time.Time) float64 { return 1 / float64(sim.scenario.Daemons) },
-		Seed:            sim.rng.Uint64,
+		Registrations:    sim.registry.View,
+		InService:        func(string) bool { return true },
+		OthersLoad:       dmn.loadView.OthersLoad,
+		OthersStaleness:  dmn.loadView.Staleness,
+		ReportStalled:    func(loadview.Load) {},
+		LimitShare:       func(string, string, time.Time) float64 { return 1 / float64(sim.scenario.Daemons) },
+		FirstTokenError:  lrn.Error,
+		RecordFirstToken: func(obs firsttoken.Observation, now time.Time) { lrn.Record(obs, now) },
+		Seed:             sim.rng.Uint64,
 	}
 	if sim.policy.IgnoreStaleness {
 		dps.OthersStaleness = func(time.Time) time.Duration { return 0 }
@@ -313,6 +317,7 @@
 		ExpectedTokens:    req.outputTokens,
 		StartWithin:       req.cls.Deadline - now.Sub(req.arrivedAt),
 		MaxUsefulForecast: sim.policy.maxUsefulForecast(req.cls.Objective, sim.waitedSinceArrival(req)),
+		FirstSend:         req.attempts == 0,
 		Avoid:             req.avoid,
 	})
 	if err != nil {
