Only raise forecasts of the first token

A negative correction at full groups admits more requests to them until the observed times rise again.

Change: the learnt error is never negative, and groups with more than a quarter of their slots in the queue have a band of their own. Scores, by which groups are chosen, stay uncorrected as before.

Result: tests of firsttoken pass with -race.

--- a/internal/firsttoken/learner.go
+++ b/internal/firsttoken/learner.go
@@ -21,9 +21,9 @@
 	MaxError = 400 * time.Millisecond
 )
 
-// bandLimits are the upper limits of the load bands, as the share of the slots that are taken. The last band has no limit:
-// in it requests wait for a slot.
-var bandLimits = []float64{0.5, 1}
+// bandLimits are the upper limits of the load bands, as the share of the slots that are taken. Beyond 1, requests wait for
+// a slot, for which the step model tends to tell too long a time; the last band has no limit.
+var bandLimits = []float64{0.5, 1, 1.25}
 
 // Key identifies the requests that are averaged together.
 type Key struct {
@@ -147,7 +147,8 @@
 }
 
 // errorOf returns the mean of the middle half of sorted differences (the interquartile mean), on which single outliers
-// have no effect, and the distance of the upper quartile from it.
+// have no effect, and the distance of the upper quartile from it. The mean is never negative: forecasts are too high at
+// groups with a long queue, but lower ones would admit more requests there until the observed times rise, and so on.
 func errorOf(sorted []time.Duration) Error {
 	quarter := len(sorted) / 4
 	middle := sorted[quarter : len(sorted)-quarter]
@@ -155,7 +156,7 @@
 	for _, value := range middle {
 		sum += value
 	}
-	mean := min(max(sum/time.Duration(len(middle)), -MaxError), MaxError)
+	mean := min(max(0, sum/time.Duration(len(middle))), MaxError)
 	return Error{
 		Mean:   mean,
 		Spread: max(0, min(middle[len(middle)-1], MaxError)-mean),
--- a/internal/firsttoken/learner_test.go
+++ b/internal/firsttoken/learner_test.go
@@ -72,6 +72,20 @@
 	qt.Assert(tst, sent >= 250, qt.IsTrue, qt.Commentf("%d of 600 were sent", sent))
 }
 
+// Guards against forecasts that are lowered at groups with a queue, where a model that is too high keeps admission steady.
+func TestForecastsAreOnlyRaised(tst *testing.T) {
+	lrn := firsttoken.New()
+	for range 16 {
+		lrn.Record(firsttoken.Observation{
+			Key:      key,
+			Load:     1.5,
+			Modelled: 900 * time.Millisecond,
+			Measured: 600 * time.Millisecond,
+		}, start)
+	}
+	qt.Assert(tst, lrn.Error(key, 1.5, start), qt.Equals, firsttoken.Error{})
+}
+
 // Guards against a correction by a few requests, by requests of long ago, or by failures of any length.
 func TestErrorNeedsRecentRequestsAndIsBounded(tst *testing.T) {
 	lrn := firsttoken.New()
