Keep capacity for more urgent requests

Cause: each request was admitted up to its own objective, so that the kind with the longest objective filled the groups.

Change: internal/reservation records the classes (priority, objective) of requests by service and model, their prompt sizes and how many were sent. Placement sends a request only where a request of each more urgent class of the last 45 s would be on time after it; the size of its prompt counts, since engines read prompts in order of arrival. A class of which less than half as many are sent as of the more urgent ones is exempt: it competes with them on equal terms. The relay fills the class of a request and reports whether it was sent. Metrics RejectedForMoreUrgent and ExemptFromReservation, log fields priority and exempt.

The test fails without the reservation. Linter, and tests of reservation, placement, admission, relay, site and emulator pass; the first three also with -race. The effect on a site is not measured yet.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -14,6 +14,7 @@
 	"github.com/cumintally/cumintally/internal/firsttoken"
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/outlier"
+	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/router"
 	"github.com/cumintally/cumintally/internal/serverlimit"
@@ -78,6 +79,8 @@
 	// slots is taken, and RecordFirstToken records a response that began.
 	FirstTokenError  func(key firsttoken.Key, load float64, now time.Time) firsttoken.Error
 	RecordFirstToken func(observation firsttoken.Observation, now time.Time)
+	// Reserve decides whether a request of a class may take capacity of a model.
+	Reserve func(key reservation.Key, class reservation.Class, onTime reservation.OnTime, now time.Time) reservation.Verdict
 	// Seed returns the seed of the random draws of a router.
 	Seed func() uint64
 }
@@ -94,6 +97,9 @@
 	// MaxUsefulForecast returns the longest forecast of the first token at which the request is still worth sending, given
 	// idleForecast, the forecast for an idle engine. If it is nil, the request is sent at any forecast.
 	MaxUsefulForecast func(idleForecast time.Duration) time.Duration
+	// Priority is 0 for the most urgent requests. Objective is the time within which the response must begin.
+	Priority  int
+	Objective time.Duration
 	// FirstSend is set if the request was not sent before, so that its response tells how good the forecast was.
 	FirstSend bool
 	// Avoid holds the IDs of backend servers that failed the request.
@@ -110,6 +116,8 @@
 	// earlier forecasts had.
 	Forecast   time.Duration
 	Correction firsttoken.Error
+	// Exempt is set if the request was sent because its class would starve, though more urgent requests need the capacity.
+	Exempt bool
 	// UsualTime is the mean time that requests of the same service and model are in flight, 0 if it is not known.
 	UsualTime time.Duration
 	// Candidates is the number of backend servers that were considered.
@@ -201,6 +209,16 @@
 			return pck, errors.Annotatef(ErrBusy, "service %s, model %q: first token expected after %v at the best of %d",
 				request.Service.Name, request.Model, forecast.Round(time.Millisecond), len(healthy))
 		}
+		verdict := plm.reserve(&request, exp.load, now)
+		if verdict == reservation.Reserved {
+			pck := Pick{
+				Forecast:   forecast,
+				Correction: exp.correction,
+				Candidates: len(candidates),
+			}
+			return pck, errors.Annotatef(ErrBusy, "service %s, model %q: kept for requests more urgent than priority %d, first token expected after %v",
+				request.Service.Name, request.Model, request.Priority, forecast.Round(time.Millisecond))
+		}
 		if srv.Cold(now) && request.Service.ColdRate > 0 && !plm.coldLimiter.Take(srv.ID, plm.coldRate(request.Service), now) {
 			healthy = slices.Delete(slices.Clone(healthy), idx, idx+1)
 			continue
@@ -220,6 +238,7 @@
 			Release:    release,
 			Forecast:   forecast,
 			Correction: exp.correction,
+			Exempt:     verdict == reservation.Exempt,
 			UsualTime:  usualTime,
 			Candidates: len(candidates),
 		}, nil
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -13,6 +13,7 @@
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/outlier"
 	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverlimit"
 	"github.com/cumintally/cumintally/internal/serverregistry"
@@ -25,6 +26,7 @@
 	trk *outlier.Tracker
 	lim *serverlimit.Limiter
 	lrn *firsttoken.Learner
+	ldg *reservation.Ledger
 	out map[string]bool
 	plm *placement.Placement
 	now time.Time
@@ -44,6 +46,7 @@
 		trk: outlier.New(),
 		lim: serverlimit.New(func() float64 { return 0 }),
 		lrn: firsttoken.New(),
+		ldg: reservation.New(),
 		out: map[string]bool{},
 		now: time.Unix(1000, 0),
 		svc: &route.Service{
@@ -77,6 +80,7 @@
 		LimitShare:       func(string, string, time.Time) float64 { return 1 },
 		FirstTokenError:  fix.lrn.Error,
 		RecordFirstToken: func(obs firsttoken.Observation, now time.Time) { fix.lrn.Record(obs, now) },
+		Reserve:          fix.ldg.Decide,
 		Seed:             func() uint64 { return seed },
 	}
 	cfg := placement.Config{
--- /dev/null
+++ b/internal/placement/reservation_test.go
@@ -0,0 +1,67 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/cumintally/cumintally/internal/admission"
+	"github.com/cumintally/cumintally/internal/loadview"
+	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/reservation"
+	"github.com/cumintally/cumintally/internal/serverregistry"
+)
+
+// Guards against requests with a long objective that take the last capacity in which more urgent ones would be on time,
+// and against a size that does not matter: of two requests of the less urgent class only the small one leaves room. Under
+// normal load both are sent.
+func TestCapacityIsKeptForMoreUrgentRequests(tst *testing.T) {
+	urgent := reservation.Class{
+		Priority:  1,
+		Objective: 300 * time.Millisecond,
+	}
+	for _, cas := range []struct {
+		inFlight int
+		priority int
+		prompt   int
+		sent     bool
+	}{
+		{5, 2, 2500, true},
+		{10, 2, 200, true},
+		{10, 2, 2500, false},
+		{10, 1, 2500, true},
+	} {
+		fix := newFixture()
+		fix.group("one", "a", serverregistry.Ready)
+		fix.viw.ReceiveAnnouncement("entry-2", loadview.Announcement{
+			Sequence: 1,
+			Loads: []loadview.Load{
+				{
+					Server:   "one",
+					Requests: cas.inFlight,
+				},
+			},
+		}, fix.now)
+		request := placement.Request{
+			Service:      fix.svc,
+			Model:        "recipes",
+			PromptTokens: cas.prompt,
+			Priority:     cas.priority,
+			Objective:    800 * time.Millisecond,
+		}
+		request.MaxUsefulForecast = func(idle time.Duration) time.Duration {
+			return admission.MaxUsefulForecast(request.Objective, 0, idle)
+		}
+		fix.ldg.Record(request.ReservationKey(), urgent, 500, true, fix.now)
+		pck, err := fix.plm.Choose(request, fix.now)
+		note := qt.Commentf("%+v: forecast %v, error %v", cas, pck.Forecast, err)
+		qt.Check(tst, err == nil, qt.Equals, cas.sent, note)
+		qt.Check(tst, errors.Is(err, placement.ErrBusy), qt.Equals, !cas.sent, note)
+		// A request that was sent before continues wherever it is accepted.
+		request.MaxUsefulForecast = nil
+		_, err = fix.plm.Choose(request, fix.now)
+		qt.Check(tst, err, qt.IsNil)
+	}
+}
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -123,7 +123,8 @@
 		)
 	}
 	if run.route != nil {
-		fields = append(fields, zap.String("route", run.route.Name), zap.Duration("objective", run.route.Objective))
+		fields = append(fields, zap.String("route", run.route.Name), zap.Duration("objective", run.route.Objective),
+			zap.Int("priority", run.priority))
 	}
 	if srv := run.pick.Server; srv != nil {
 		fields = append(fields,
@@ -133,6 +134,7 @@
 			zap.Duration("forecast", run.pick.Forecast),
 			zap.Duration("correction", run.pick.Correction.Mean),
 			zap.Duration("correctionSpread", run.pick.Correction.Spread),
+			zap.Bool("exempt", run.pick.Exempt),
 		)
 	}
 	if run.blocked {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -124,6 +124,8 @@
 	ReturnRetry   func(service string, now time.Time)
 	// RecordDemand records the work of a request that arrived for the first time, whether or not it will be served.
 	RecordDemand func(request placement.Request, now time.Time)
+	// RecordAdmission records whether a request that arrived for the first time is sent to a backend server.
+	RecordAdmission func(request placement.Request, sent bool, now time.Time)
 	// BlockedFor returns the time for which a request must not run, 0 if it may. ReportCrash records that a connection
 	// broke before the response had begun to arrive, or soon afterwards, and may take some time to find out whether the
 	// backend server crashed; ReportSurvival records that the response went on arriving.
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -22,6 +22,7 @@
 	"github.com/cumintally/cumintally/internal/placement"
 	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/relay"
+	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverregistry"
 	"github.com/cumintally/cumintally/internal/upstream"
@@ -54,6 +55,8 @@
 	blockedFor time.Duration
 	// isOutdated says that the configuration may lack changes that must be in force.
 	isOutdated bool
+	// workspacePriority is that of the workspace, 0 for none.
+	workspacePriority int
 	// limits are those of the configuration, and secret says that the route needs a key.
 	limits route.Limits
 	secret bool
@@ -63,12 +66,19 @@
 	// dial replaces the dialing of servers, and outliers the tracker, unless they are nil.
 	dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	outliers *outlier.Tracker
-	// crashes are those that the relay reported.
-	crashes []relay.Crash
+	// crashes and admissions are those that the relay reported.
+	crashes    []relay.Crash
+	admissions []admission
 	// clock is the real clock if it is nil.
 	clock clockwork.Clock
 }
 
+// admission is a call of RecordAdmission.
+type admission struct {
+	class reservation.Class
+	sent  bool
+}
+
 func (fix *fixture) handler() http.Handler {
 	tbl := route.New(route.Config{
 		Routes: []route.Route{
@@ -96,8 +106,10 @@
 		},
 		Workspaces: []route.Workspace{
 			{
-				Name: "polishing",
-				Keys: []string{"valid"},
+				Name:        "polishing",
+				Keys:        []string{"valid"},
+				Priority:    fix.workspacePriority,
+				HasPriority: fix.workspacePriority > 0,
 			},
 		},
 		Limits: fix.limits,
@@ -156,6 +168,14 @@
 		},
 		RecordRequest: func(string, time.Time) {},
 		RecordDemand:  func(placement.Request, time.Time) {},
+		RecordAdmission: func(req placement.Request, sent bool, _ time.Time) {
+			fix.mu.Lock()
+			defer fix.mu.Unlock()
+			fix.admissions = append(fix.admissions, admission{
+				class: req.Class(),
+				sent:  sent,
+			})
+		},
 		TakeRetry: func(string, time.Time) bool {
 			fix.mu.Lock()
 			defer fix.mu.Unlock()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -150,7 +150,7 @@
 	rly := run.relay
 	// A send that reached no backend server adds no load, so that the next one is no retry.
 	if run.arrivals == 0 {
-		return rly.deps.Choose(run.placementRequest(), rly.clock.Now())
+		return run.chooseFirst(rly.clock.Now())
 	}
 	pick, err := rly.chooseForRetry(run.placementRequest(), rly.clock.Now())
 	if errors.Is(err, errRetryBudget) {
@@ -159,6 +159,17 @@
 	return pick, err
 }
 
+// chooseFirst chooses a backend server for a request that has reached none. Whether a request that arrived for the first
+// time is sent counts for the share of its class.
+func (run *run) chooseFirst(now time.Time) (placement.Pick, error) {
+	request := run.placementRequest()
+	pick, err := run.relay.deps.Choose(request, now)
+	if run.sends == 0 && run.waitedBefore == 0 {
+		run.relay.deps.RecordAdmission(request, err == nil, now)
+	}
+	return pick, err
+}
+
 // chooseForRetry chooses a backend server and takes a retry from the budget; it takes none if there is no server.
 func (rly *Relay) chooseForRetry(request placement.Request, now time.Time) (placement.Pick, error) {
 	if !rly.deps.TakeRetry(request.Service.Name, now) {
@@ -254,6 +265,8 @@
 		ExpectedTokens:    expected,
 		StartWithin:       run.deadline.Sub(run.relay.clock.Now()),
 		MaxUsefulForecast: run.maxUsefulForecast(),
+		Priority:          run.priority,
+		Objective:         run.route.Objective,
 		FirstSend:         run.sends == 0,
 		Avoid:             slices.Concat(run.failedServers, run.decliningServers),
 	}
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -29,6 +29,7 @@
 	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/rejections"
 	"github.com/cumintally/cumintally/internal/relay"
+	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/retrybudget"
 	"github.com/cumintally/cumintally/internal/serverlimit"
 	"github.com/cumintally/cumintally/internal/serverpath"
@@ -55,6 +56,7 @@
 	newColdLimiter,
 	newServerLimiter,
 	firsttoken.New,
+	reservation.New,
 	newBudget,
 	newRetryAccount,
 	loadview.New,
@@ -144,6 +146,7 @@
 	lim *serverlimit.Limiter,
 	sel *serverpath.Selector,
 	lrn *firsttoken.Learner,
+	ldg *reservation.Ledger,
 	met metrics.Registry,
 	clk clockwork.Clock,
 	log *zap.Logger,
@@ -164,6 +167,7 @@
 		},
 		FirstTokenError:  lrn.Error,
 		RecordFirstToken: newFirstTokenRecorder(lrn, met, log),
+		Reserve:          newReserve(ldg, met),
 		Seed:             rand.Uint64,
 		ReportStalled: func(all loadview.Load) {
 			log.Named("placement").Info("an engine sends nothing although responses are due; ejecting it for a while",
@@ -188,6 +192,7 @@
 	mtr *demand.Meter,
 	trk *outlier.Tracker,
 	lim *serverlimit.Limiter,
+	ldg *reservation.Ledger,
 	met metrics.Registry,
 	clk clockwork.Clock,
 	log *zap.Logger,
@@ -208,6 +213,11 @@
 				mtr.Record(req.Service.Name, mod.Name, work, now)
 			}
 		},
+		RecordAdmission: func(req placement.Request, sent bool, now time.Time) {
+			if req.RequestedModel() != nil && req.Objective > 0 {
+				ldg.Record(req.ReservationKey(), req.Class(), req.PromptTokens, sent, now)
+			}
+		},
 		BlockedFor:     cex.blockedFor,
 		ReportCrash:    cex.recordCrash,
 		ReportSurvival: cex.recordSurvival,
--- a/internal/standin/emulator/simulation.go
+++ b/internal/standin/emulator/simulation.go
@@ -15,6 +15,7 @@
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/outlier"
 	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverlimit"
 	"github.com/cumintally/cumintally/internal/serverregistry"
@@ -195,6 +196,7 @@
 		LimitShare:       func(string, string, time.Time) float64 { return 1 / float64(sim.scenario.Daemons) },
 		FirstTokenError:  lrn.Error,
 		RecordFirstToken: func(obs firsttoken.Observation, now time.Time) { lrn.Record(obs, now) },
+		Reserve:          reservation.New().Decide,
 		Seed:             sim.rng.Uint64,
 	}
 	if sim.policy.IgnoreStaleness {
