--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -265,12 +265,17 @@
 	return num
 }
 
-// tooLate reports whether the first token is forecast so late that the request is not worth sending.
+// tooLate reports whether the first token is forecast so late that the request is not worth sending, as it is in any case
+// if the caller no longer waits for it then.
 func (plm *Placement) tooLate(req *Request, exp expectation, now time.Time) bool {
 	if req.MaxUsefulForecast == nil || req.RequestedModel() == nil {
 		return false
 	}
-	return exp.latestFirstToken() > req.MaxUsefulForecast(plm.expect(req, admission.Load{}, now).latestFirstToken())
+	limit := req.MaxUsefulForecast(plm.expect(req, admission.Load{}, now).latestFirstToken())
+	if req.StartWithin != 0 {
+		limit = min(limit, req.StartWithin)
+	}
+	return exp.latestFirstToken() > limit
 }
 
 // ejectIfStalled reports whether a backend server is stalled, and ejects it if it is. A server is stalled if a response
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -14,6 +14,24 @@
 	"github.com/cumintally/cumintally/internal/serverregistry"
 )
 
+// Guards against work for callers that no longer wait: a request whose deadline is before the forecast must be rejected,
+// though its objective is after it.
+func TestRequestBeyondItsDeadlineIsRejected(tst *testing.T) {
+	fix := newFixture()
+	fix.group("one", "a", serverregistry.Ready)
+	for _, startWithin := range []time.Duration{30 * time.Millisecond, 200 * time.Millisecond} {
+		pck, err := fix.plm.Choose(placement.Request{
+			Service:           fix.svc,
+			Model:             "recipes",
+			PromptTokens:      1000,
+			StartWithin:       startWithin,
+			MaxUsefulForecast: func(time.Duration) time.Duration { return time.Minute },
+		}, fix.now)
+		qt.Assert(tst, errors.Is(err, placement.ErrBusy), qt.Equals, startWithin < pck.Forecast, qt.Commentf("%v", err))
+		qt.Assert(tst, pck.Forecast > 30*time.Millisecond && pck.Forecast < 200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", pck.Forecast))
+	}
+}
+
 // Guards against requests with a long objective that take the last capacity in which more urgent ones would be on time,
 // and against a size that does not matter: of two requests of the less urgent class only the small one leaves room. Under
 // normal load both are sent.
