Reject by the error that nearly all forecasts have

Cause: with the mean error in the forecast, the limit rejected requests of which many would have been on time.

Change: decisions to reject use the lowest decile of the errors, which is the fixed part of the time; the forecast, by which the urgency at the engine is chosen, keeps the mean. onTimeShare is 0.85 again, so that nothing changes where the step model is right.

--- a/internal/admission/useful.go
+++ b/internal/admission/useful.go
@@ -3,10 +3,9 @@
 import "time"
 
 const (
-	// onTimeShare is the share of an objective that a forecast may take. Forecasts include what the step model leaves out,
-	// such as the round trip to the engine, once this daemon has observed it. A request that is slightly late is still
-	// worth something, whereas one that is rejected is late whenever it returns.
-	onTimeShare = 1
+	// onTimeShare is the share of an objective that a forecast may take. The rest is for what the forecast leaves out:
+	// the step in progress when the request arrives, and requests that other daemons have just sent.
+	onTimeShare = 0.85
 	// lateSlackShare is the share of an objective by which the forecast may exceed that of an idle engine for a request
 	// that will miss its objective anyway. Such a request runs only where it takes no slot from a request that can be
 	// on time.
--- a/internal/firsttoken/learner.go
+++ b/internal/firsttoken/learner.go
@@ -35,8 +35,9 @@
 type Error struct {
 	// Mean is the average without outliers, to be added to a modelled time.
 	Mean time.Duration
-	// Spread is the difference that a quarter of the requests exceed, above Mean.
-	Spread time.Duration
+	// Least is the difference that nine of ten requests reached: the fixed part of the time, without the effects of load
+	// that only some requests met.
+	Least time.Duration
 }
 
 // Observation is one request whose response began without a failure.
@@ -147,8 +148,8 @@
 }
 
 // errorOf returns the mean of the middle half of sorted differences (the interquartile mean), on which single outliers
-// have no effect, and the distance of the upper quartile from it. The mean is never negative: forecasts are too high at
-// groups with a long queue, but lower ones would admit more requests there until the observed times rise, and so on.
+// have no effect, and their lowest decile. Neither is negative: forecasts are too high at groups with a long queue, but
+// lower ones would admit more requests there until the observed times rise, and so on.
 func errorOf(sorted []time.Duration) Error {
 	quarter := len(sorted) / 4
 	middle := sorted[quarter : len(sorted)-quarter]
@@ -156,9 +157,9 @@
 	for _, value := range middle {
 		sum += value
 	}
-	mean := min(max(0, sum/time.Duration(len(middle))), MaxError)
+	bound := func(value time.Duration) time.Duration { return min(max(0, value), MaxError) }
 	return Error{
-		Mean:   mean,
-		Spread: max(0, min(middle[len(middle)-1], MaxError)-mean),
+		Mean:  bound(sum / time.Duration(len(middle))),
+		Least: bound(sorted[len(sorted)/10]),
 	}
 }
--- a/internal/placement/firsttoken.go
+++ b/internal/placement/firsttoken.go
@@ -18,13 +18,14 @@
 
 // firstToken returns the corrected forecast.
 func (exp expectation) firstToken() time.Duration {
-	return max(0, exp.modelled+exp.correction.Mean)
+	return exp.modelled + exp.correction.Mean
 }
 
-// latestFirstToken returns the time by which the first tokens of three requests in four have come. Decisions to reject a
-// request use it, so that most of those that are sent are on time also where the times vary.
-func (exp expectation) latestFirstToken() time.Duration {
-	return exp.firstToken() + exp.correction.Spread
+// earliestFirstToken returns the time before which first tokens rarely come. Decisions to reject a request use it: a late
+// response is worth something, whereas a rejected request is late whenever it returns, so that one with a fair chance to
+// be on time is sent.
+func (exp expectation) earliestFirstToken() time.Duration {
+	return exp.modelled + exp.correction.Least
 }
 
 // expect forecasts the first token of a request at a group under a load. For plain services it returns zeros.
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -133,7 +133,7 @@
 			zap.Int("candidates", run.pick.Candidates),
 			zap.Duration("forecast", run.pick.Forecast),
 			zap.Duration("correction", run.pick.Correction.Mean),
-			zap.Duration("correctionSpread", run.pick.Correction.Spread),
+			zap.Duration("leastCorrection", run.pick.Correction.Least),
 			zap.Bool("exempt", run.pick.Exempt),
 		)
 	}
