Try other groups for requests that one must not take

Cause: a less urgent request was rejected if the group that was drawn first had no room beside more urgent ones, although another one did.

Change: placement draws again among the other groups, and rejects the request once none is left.

Result: the new test fails without the change.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -197,6 +197,8 @@
 	if len(healthy) == 0 && len(request.Avoid) == 0 {
 		healthy = candidates
 	}
+	// reserved is the longest forecast at a server whose capacity is kept for more urgent requests.
+	reserved := time.Duration(0)
 	for len(healthy) > 0 {
 		idx, exp := plm.drawCandidate(request, healthy, loads, now)
 		srv, forecast := healthy[idx], exp.firstToken()
@@ -211,13 +213,9 @@
 		}
 		verdict := plm.reserve(&request, exp.load, now)
 		if verdict == reservation.Reserved {
-			pck := Pick{
-				Forecast:   forecast,
-				Correction: exp.correction,
-				Candidates: len(candidates),
-			}
-			return pck, errors.Annotatef(ErrBusy, "service %s, model %q: kept for requests more urgent than priority %d, first token expected after %v",
-				request.Service.Name, request.Model, request.Priority, forecast.Round(time.Millisecond))
+			reserved = max(reserved, forecast)
+			healthy = slices.Delete(slices.Clone(healthy), idx, idx+1)
+			continue
 		}
 		if srv.Cold(now) && request.Service.ColdRate > 0 && !plm.coldLimiter.Take(srv.ID, plm.coldRate(request.Service), now) {
 			healthy = slices.Delete(slices.Clone(healthy), idx, idx+1)
@@ -244,9 +242,14 @@
 		}, nil
 	}
 	pck := Pick{
+		Forecast:   reserved,
 		Candidates: len(candidates),
 		ResumesIn:  resumesIn,
 	}
+	if reserved > 0 {
+		return pck, errors.Annotatef(ErrBusy, "service %s, model %q: kept for requests more urgent than priority %d, first token expected after %v at most",
+			request.Service.Name, request.Model, request.Priority, reserved.Round(time.Millisecond))
+	}
 	const format = "service %s, model %q: %d registered, %d candidates cold beyond their rate or failing, " +
 		"%d of them send to other daemons, next one back in %v"
 	return pck, errors.Annotatef(ErrNoServer, format,
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -83,3 +83,42 @@
 		qt.Check(tst, err, qt.IsNil)
 	}
 }
+
+// Guards against rejections while another group has room: capacity that is kept at the nearest group, which is drawn first,
+// says nothing about one with fewer unread tokens in another zone.
+func TestRequestGoesWhereNoCapacityIsKept(tst *testing.T) {
+	for seed := range uint64(20) {
+		fix := newSeededFixture(seed)
+		fix.group("near", "a", serverregistry.Ready)
+		fix.group("free", "b", serverregistry.Ready)
+		fix.viw.ReceiveAnnouncement("entry-2", loadview.Announcement{
+			Sequence: 1,
+			Loads: []loadview.Load{
+				{
+					Server:       "near",
+					Requests:     4,
+					UnreadTokens: 2000,
+				},
+				{
+					Server:       "free",
+					Requests:     4,
+					UnreadTokens: 1000,
+				},
+			},
+		}, fix.now)
+		request := placement.Request{
+			Service:           fix.svc,
+			Model:             "recipes",
+			PromptTokens:      500,
+			Priority:          2,
+			Objective:         800 * time.Millisecond,
+			MaxUsefulForecast: func(time.Duration) time.Duration { return time.Second },
+		}
+		fix.ldg.Record(request.ReservationKey(), reservation.Class{
+			Objective: 110 * time.Millisecond,
+		}, 500, true, fix.now)
+		pck, err := fix.plm.Choose(request, fix.now)
+		qt.Assert(tst, err, qt.IsNil)
+		qt.Assert(tst, pck.Server.ID, qt.Equals, "free")
+	}
+}
