Count rejections in favour of more urgent requests once each

Cause: the counters sat at the decision for a group, of which a request meets several since other groups are tried, and counted requests that another group then took.

Change: placement fails with ErrReserved, and the relay counts final rejections (RelayRejectedForMoreUrgent) and exempt sends (RelayExemptFromReservation).

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -26,6 +26,8 @@
 	ErrNoServer = errors.ConstError("placement: no backend server available")
 	// ErrBusy reports that the backend servers are so busy that the response would come too late.
 	ErrBusy = errors.ConstError("placement: backend servers are busy")
+	// ErrReserved reports that the capacity of the backend servers is kept for more urgent requests.
+	ErrReserved = errors.ConstError("placement: capacity is kept for more urgent requests")
 )
 
 const (
@@ -178,8 +180,8 @@
 	}
 }
 
-// Choose picks a backend server and counts the request as in flight there. It fails with ErrNoServer, or with ErrBusy
-// and the forecast of the candidate that was drawn.
+// Choose picks a backend server and counts the request as in flight there. It fails with ErrNoServer, or with ErrBusy or
+// ErrReserved and the forecast of a candidate.
 func (plm *Placement) Choose(request Request, now time.Time) (Pick, error) {
 	limitShare := sync.OnceValue(func() float64 { return plm.deps.LimitShare(request.Service.Name, request.Model, now) })
 	candidates, resumesIn := plm.candidates(request, limitShare, now)
@@ -247,7 +249,7 @@
 		ResumesIn:  resumesIn,
 	}
 	if reserved > 0 {
-		return pck, errors.Annotatef(ErrBusy, "service %s, model %q: kept for requests more urgent than priority %d, first token expected after %v at most",
+		return pck, errors.Annotatef(ErrReserved, "service %s, model %q: priority %d, first token expected after %v at most",
 			request.Service.Name, request.Model, request.Priority, reserved.Round(time.Millisecond))
 	}
 	const format = "service %s, model %q: %d registered, %d candidates cold beyond their rate or failing, " +
--- a/internal/placement/reservation_test.go
+++ b/internal/placement/reservation_test.go
@@ -76,7 +76,7 @@
 		pck, err := fix.plm.Choose(request, fix.now)
 		note := qt.Commentf("%+v: forecast %v, error %v", cas, pck.Forecast, err)
 		qt.Check(tst, err == nil, qt.Equals, cas.sent, note)
-		qt.Check(tst, errors.Is(err, placement.ErrBusy), qt.Equals, !cas.sent, note)
+		qt.Check(tst, errors.Is(err, placement.ErrReserved), qt.Equals, !cas.sent, note)
 		// A request that was sent before continues wherever it is accepted.
 		request.MaxUsefulForecast = nil
 		_, err = fix.plm.Choose(request, fix.now)
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -37,7 +37,7 @@
 	qt.Assert(tst, fix.get(), qt.Equals, http.StatusOK)
 	fix.choose = func(req placement.Request) (placement.Pick, error) {
 		qt.Check(tst, req.FirstSend, qt.IsTrue)
-		return placement.Pick{}, placement.ErrBusy
+		return placement.Pick{}, placement.ErrReserved
 	}
 	qt.Assert(tst, fix.get(), qt.Equals, http.StatusServiceUnavailable)
 	cls := reservation.Class{
--- a/internal/relay/counters.go
+++ b/internal/relay/counters.go
@@ -15,6 +15,8 @@
 	stalledStreams    metrics.Counter
 	stalledWaiting    metrics.Counter
 	retriesOverBudget metrics.Counter
+	rejectedForUrgent metrics.Counter
+	exempt            metrics.Counter
 	callerDisconnects metrics.Counter
 	abortedResponses  metrics.Counter
 	firstByteLatency  metrics.Histogram
@@ -32,6 +34,8 @@
 		stalledStreams:    metrics.GetOrRegisterCounter("RelayStalledStreams", reg),
 		stalledWaiting:    metrics.GetOrRegisterCounter("RelayStalledWaiting", reg),
 		retriesOverBudget: metrics.GetOrRegisterCounter("RelayRepeatsOverBudget", reg),
+		rejectedForUrgent: metrics.GetOrRegisterCounter("RelayRejectedForMoreUrgent", reg),
+		exempt:            metrics.GetOrRegisterCounter("RelayExemptFromReservation", reg),
 		callerDisconnects: metrics.GetOrRegisterCounter("RelayCallersGone", reg),
 		abortedResponses:  metrics.GetOrRegisterCounter("RelayAnswersCutOff", reg),
 		firstByteLatency:  metrics.GetOrRegisterHistogram("RelayFirstByteMilliseconds", reg, sample()),
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -110,8 +110,8 @@
 	// IsConfigurationCurrent reports whether it holds all changes that must be in force.
 	ConfigurationAge       func() time.Duration
 	IsConfigurationCurrent func() bool
-	// Choose picks a backend server; it fails with placement.ErrNoServer, or with placement.ErrBusy and a pick that holds
-	// the best forecast.
+	// Choose picks a backend server; it fails with placement.ErrNoServer, or with placement.ErrBusy or placement.ErrReserved
+	// and a pick that holds a forecast.
 	Choose func(request placement.Request, now time.Time) (placement.Pick, error)
 	// Connect returns a connection to the backend server at address, which must open within timeout if it is direct.
 	Connect func(ctx context.Context, address string, timeout time.Duration) (*upstream.Conn, error)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -164,6 +164,12 @@
 func (run *run) chooseFirst(now time.Time) (placement.Pick, error) {
 	request := run.placementRequest()
 	pick, err := run.relay.deps.Choose(request, now)
+	switch {
+	case errors.Is(err, placement.ErrReserved):
+		run.relay.requestMetrics.rejectedForUrgent.Inc(1)
+	case pick.Exempt:
+		run.relay.requestMetrics.exempt.Inc(1)
+	}
 	if run.sends == 0 && run.waitedBefore == 0 {
 		run.relay.deps.RecordAdmission(request, err == nil, now)
 	}
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -167,7 +167,7 @@
 		},
 		FirstTokenError:  lrn.Error,
 		RecordFirstToken: newFirstTokenRecorder(lrn, met, log),
-		Reserve:          newReserve(ldg, met),
+		Reserve:          ldg.Decide,
 		Seed:             rand.Uint64,
 		ReportStalled: func(all loadview.Load) {
 			log.Named("placement").Info("an engine sends nothing although responses are due; ejecting it for a while",
