--- a/internal/admission/useful.go
+++ b/internal/admission/useful.go
@@ -4,7 +4,7 @@
 
 const (
 	// onTimeShare is the share of an objective that a forecast may take. The rest is for what the forecast leaves out:
-	// the round trip to the engine, and the step in progress when the request arrives.
+	// the step in progress when the request arrives, and requests that other daemons have just sent.
 	onTimeShare = 0.85
 	// lateSlackShare is the share of an objective by which the forecast may exceed that of an idle engine for a request
 	// that will miss its objective anyway. Such a request runs only where it takes no slot from a request that can be
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -11,8 +11,10 @@
 
 	"github.com/cumintally/cumintally/internal/admission"
 	"github.com/cumintally/cumintally/internal/coldlimit"
+	"github.com/cumintally/cumintally/internal/firsttoken"
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/outlier"
+	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/router"
 	"github.com/cumintally/cumintally/internal/serverlimit"
@@ -24,6 +26,8 @@
 	ErrNoServer = errors.ConstError("placement: no backend server available")
 	// ErrBusy reports that the backend servers are so busy that the response would come too late.
 	ErrBusy = errors.ConstError("placement: backend servers are busy")
+	// ErrReserved reports that the capacity of the backend servers is kept for more urgent requests.
+	ErrReserved = errors.ConstError("placement: capacity is kept for more urgent requests")
 )
 
 const (
@@ -77,6 +81,12 @@
 	OthersStaleness func(now time.Time) time.Duration
 	// LimitShare returns the share of this daemon in the requests that all daemons send for a model of a service.
 	LimitShare func(service, model string, now time.Time) float64
+	// FirstTokenError returns by how much first tokens come later than modelled at groups of which the share load of the
+	// slots is taken, and RecordFirstToken records a response that began.
+	FirstTokenError  func(key firsttoken.Key, load float64, now time.Time) firsttoken.Error
+	RecordFirstToken func(observation firsttoken.Observation, now time.Time)
+	// Reserve decides whether a request of a class may take capacity of a model.
+	Reserve func(key reservation.Key, class reservation.Class, onTime reservation.OnTime, now time.Time) reservation.Verdict
 	// Seed returns the seed of the random draws of a router.
 	Seed func() uint64
 }
@@ -93,6 +103,11 @@
 	// MaxUsefulForecast returns the longest forecast of the first token at which the request is still worth sending, given
 	// idleForecast, the forecast for an idle engine. If it is nil, the request is sent at any forecast.
 	MaxUsefulForecast func(idleForecast time.Duration) time.Duration
+	// Priority is 0 for the most urgent requests. Objective is the time within which the response must begin.
+	Priority  int
+	Objective time.Duration
+	// FirstSend is set if the request was not sent before, so that its response tells how good the forecast was.
+	FirstSend bool
 	// Avoid holds the IDs of backend servers that failed the request.
 	Avoid []string
 }
@@ -103,8 +118,12 @@
 	Server        *serverregistry.Server
 	ResponseBegan func()
 	Release       func()
-	// Forecast is the expected time to the first token, 0 for plain services.
-	Forecast time.Duration
+	// Forecast is the expected time to the first token, 0 for plain services. It includes Correction, the error that
+	// earlier forecasts had.
+	Forecast   time.Duration
+	Correction firsttoken.Error
+	// Exempt is set if the request was sent because its class would starve, though more urgent requests need the capacity.
+	Exempt bool
 	// UsualTime is the mean time that requests of the same service and model are in flight, 0 if it is not known.
 	UsualTime time.Duration
 	// Candidates is the number of backend servers that were considered.
@@ -165,8 +184,8 @@
 	}
 }
 
-// Choose picks a backend server and counts the request as in flight there. It fails with ErrNoServer, or with ErrBusy
-// and the forecast of the candidate that was drawn.
+// Choose picks a backend server and counts the request as in flight there. It fails with ErrNoServer, or with ErrBusy or
+// ErrReserved and the forecast of a candidate.
 func (plm *Placement) Choose(request Request, now time.Time) (Pick, error) {
 	limitShare := sync.OnceValue(func() float64 { return plm.deps.LimitShare(request.Service.Name, request.Model, now) })
 	candidates, resumesIn := plm.candidates(request, limitShare, now)
@@ -184,17 +203,26 @@
 	if len(healthy) == 0 && len(request.Avoid) == 0 {
 		healthy = candidates
 	}
+	// reserved is the longest forecast at a server whose capacity is kept for more urgent requests.
+	reserved := time.Duration(0)
 	for len(healthy) > 0 {
-		idx, forecast := plm.drawCandidate(request, healthy, loads, now)
-		srv := healthy[idx]
-		if plm.tooLate(&request, forecast) {
+		idx, exp := plm.drawCandidate(request, healthy, loads, now)
+		srv, forecast := healthy[idx], exp.firstToken()
+		if plm.tooLate(&request, exp, now) {
 			pck := Pick{
 				Forecast:   forecast,
+				Correction: exp.correction,
 				Candidates: len(candidates),
 			}
 			return pck, errors.Annotatef(ErrBusy, "service %s, model %q: first token expected after %v at the best of %d",
 				request.Service.Name, request.Model, forecast.Round(time.Millisecond), len(healthy))
 		}
+		verdict := plm.reserve(&request, exp.load, now)
+		if verdict == reservation.Reserved {
+			reserved = max(reserved, forecast)
+			healthy = slices.Delete(slices.Clone(healthy), idx, idx+1)
+			continue
+		}
 		if srv.Cold(now) && request.Service.ColdRate > 0 && !plm.coldLimiter.Take(srv.ID, plm.coldRate(request.Service), now) {
 			healthy = slices.Delete(slices.Clone(healthy), idx, idx+1)
 			continue
@@ -205,19 +233,30 @@
 		}
 		plm.reportUnregistered(srv)
 		began, release := plm.countRequest(request, srv.ID, now)
+		record := plm.firstTokenRecorder(&request, exp, now)
 		return Pick{
-			Server:        srv,
-			ResponseBegan: began,
-			Release:       release,
-			Forecast:      forecast,
-			UsualTime:     usualTime,
-			Candidates:    len(candidates),
+			Server: srv,
+			ResponseBegan: func() {
+				began()
+				record()
+			},
+			Release:    release,
+			Forecast:   forecast,
+			Correction: exp.correction,
+			Exempt:     verdict == reservation.Exempt,
+			UsualTime:  usualTime,
+			Candidates: len(candidates),
 		}, nil
 	}
 	pck := Pick{
+		Forecast:   reserved,
 		Candidates: len(candidates),
 		ResumesIn:  resumesIn,
 	}
+	if reserved > 0 {
+		return pck, errors.Annotatef(ErrReserved, "service %s, model %q: priority %d, first token expected after %v at most",
+			request.Service.Name, request.Model, request.Priority, reserved.Round(time.Millisecond))
+	}
 	const format = "service %s, model %q: %d registered, %d candidates cold beyond their rate or failing, " +
 		"%d of them send to other daemons, next one back in %v"
 	return pck, errors.Annotatef(ErrNoServer, format,
@@ -236,13 +275,17 @@
 	return num
 }
 
-// tooLate reports whether the first token is forecast so late that the request is not worth sending.
-func (plm *Placement) tooLate(req *Request, forecast time.Duration) bool {
-	mod := req.RequestedModel()
-	if req.MaxUsefulForecast == nil || mod == nil {
+// tooLate reports whether the first token is forecast so late that the request is not worth sending, as it is in any case
+// if the caller no longer waits for it then.
+func (plm *Placement) tooLate(req *Request, exp expectation, now time.Time) bool {
+	if req.MaxUsefulForecast == nil || req.RequestedModel() == nil {
 		return false
 	}
-	return forecast > req.MaxUsefulForecast(admission.Forecast(req.Service.Engine, mod, admission.Load{}, req.PromptTokens))
+	limit := req.MaxUsefulForecast(plm.expect(req, admission.Load{}, now).earliestFirstToken())
+	if req.StartWithin != 0 {
+		limit = min(limit, req.StartWithin)
+	}
+	return exp.earliestFirstToken() > limit
 }
 
 // ejectIfStalled reports whether a backend server is stalled, and ejects it if it is. A server is stalled if a response
@@ -319,7 +362,7 @@
 
 // drawCandidate returns the index of the backend server that the router draws at random by the scores, and the forecast
 // of its first token.
-func (plm *Placement) drawCandidate(req Request, srvs []*serverregistry.Server, all map[string]knownLoad, now time.Time) (int, time.Duration) {
+func (plm *Placement) drawCandidate(req Request, srvs []*serverregistry.Server, all map[string]knownLoad, now time.Time) (int, expectation) {
 	mod := req.RequestedModel()
 	views := make([]router.ReplicaView, 0, len(srvs))
 	loads := make([]admission.Load, 0, len(srvs))
@@ -358,10 +401,7 @@
 		rrq.Prefill = time.Duration(float64(req.PromptTokens) / eng.PrefillRate * float64(time.Second))
 	}
 	idx := rtr.Choose(rrq, views, now)
-	if mod == nil {
-		return idx, 0
-	}
-	return idx, admission.Forecast(req.Service.Engine, mod, loads[idx], req.PromptTokens)
+	return idx, plm.expect(&req, loads[idx], now)
 }
 
 func unreadOnly(lod admission.Load) admission.Load {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -9,9 +9,11 @@
 	"github.com/juju/errors"
 
 	"github.com/cumintally/cumintally/internal/coldlimit"
+	"github.com/cumintally/cumintally/internal/firsttoken"
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/outlier"
 	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverlimit"
 	"github.com/cumintally/cumintally/internal/serverregistry"
@@ -23,6 +25,8 @@
 	viw *loadview.View
 	trk *outlier.Tracker
 	lim *serverlimit.Limiter
+	lrn *firsttoken.Learner
+	ldg *reservation.Ledger
 	out map[string]bool
 	plm *placement.Placement
 	now time.Time
@@ -43,6 +47,8 @@
 		viw: loadview.New(),
 		trk: outlier.New(),
 		lim: serverlimit.New(func() float64 { return 0 }),
+		lrn: firsttoken.New(),
+		ldg: reservation.New(),
 		out: map[string]bool{},
 		now: time.Unix(1000, 0),
 		svc: &route.Service{
@@ -77,6 +83,9 @@
 		ReportStalled:      func(loadview.Load) {},
 		LimitShare:         func(string, string, time.Time) float64 { return 1 },
 		Seed:               func() uint64 { return seed },
+		FirstTokenError:    fix.lrn.Error,
+		RecordFirstToken:   func(obs firsttoken.Observation, now time.Time) { fix.lrn.Record(obs, now) },
+		Reserve:            fix.ldg.Decide,
 	}
 	cfg := placement.Config{
 		AvailabilityZone: "a",
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -123,7 +123,8 @@
 		)
 	}
 	if run.route != nil {
-		fields = append(fields, zap.String("route", run.route.Name), zap.Duration("objective", run.route.Objective))
+		fields = append(fields, zap.String("route", run.route.Name), zap.Duration("objective", run.route.Objective),
+			zap.Int("priority", run.priority))
 	}
 	if srv := run.pick.Server; srv != nil {
 		fields = append(fields,
@@ -131,6 +132,9 @@
 			zap.Uint64("entryVersion", srv.Version),
 			zap.Int("candidates", run.pick.Candidates),
 			zap.Duration("forecast", run.pick.Forecast),
+			zap.Duration("correction", run.pick.Correction.Mean),
+			zap.Duration("leastCorrection", run.pick.Correction.Least),
+			zap.Bool("exempt", run.pick.Exempt),
 		)
 	}
 	if run.blocked {
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -18,6 +18,7 @@
 	"github.com/cumintally/cumintally/internal/coldlimit"
 	"github.com/cumintally/cumintally/internal/demand"
 	"github.com/cumintally/cumintally/internal/edgelimits"
+	"github.com/cumintally/cumintally/internal/firsttoken"
 	"github.com/cumintally/cumintally/internal/inventory"
 	"github.com/cumintally/cumintally/internal/lease"
 	"github.com/cumintally/cumintally/internal/loadview"
@@ -30,6 +31,7 @@
 	"github.com/cumintally/cumintally/internal/rejections"
 	"github.com/cumintally/cumintally/internal/relay"
 	"github.com/cumintally/cumintally/internal/requestbody"
+	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/retrybudget"
 	"github.com/cumintally/cumintally/internal/serverlimit"
 	"github.com/cumintally/cumintally/internal/serverpath"
@@ -55,6 +57,8 @@
 	newPool,
 	newColdLimiter,
 	newServerLimiter,
+	firsttoken.New,
+	reservation.New,
 	newBudget,
 	newRetryAccount,
 	loadview.New,
@@ -146,6 +150,8 @@
 	cold *coldlimit.Limiter,
 	lim *serverlimit.Limiter,
 	sel *serverpath.Selector,
+	lrn *firsttoken.Learner,
+	ldg *reservation.Ledger,
 	met metrics.Registry,
 	clk clockwork.Clock,
 	log *zap.Logger,
@@ -167,7 +173,10 @@
 			own := mtr.Rates(now)
 			return demand.Share(own, viw.SiteDemand(own, now), service, model, stc.daemonCount())
 		},
-		Seed: rand.Uint64,
+		FirstTokenError:  lrn.Error,
+		RecordFirstToken: newFirstTokenRecorder(lrn, met, log),
+		Reserve:          ldg.Decide,
+		Seed:             rand.Uint64,
 		ReportStalled: func(all loadview.Load) {
 			log.Named("placement").Info("an engine sends nothing although responses are due; ejecting it for a while",
 				zap.String("server", all.Server), zap.Int("requests", all.Requests),
@@ -204,6 +213,7 @@
 	trk *outlier.Tracker,
 	lim *serverlimit.Limiter,
 	bdr *requestbody.Reader,
+	ldg *reservation.Ledger,
 	met metrics.Registry,
 	clk clockwork.Clock,
 	log *zap.Logger,
@@ -225,6 +235,11 @@
 				mtr.Record(req.Service.Name, mod.Name, work, now)
 			}
 		},
+		RecordAdmission: func(req placement.Request, sent bool, now time.Time) {
+			if req.RequestedModel() != nil && req.Objective > 0 {
+				ldg.Record(req.ReservationKey(), req.Class(), req.PromptTokens, sent, now)
+			}
+		},
 		BlockedFor:     cex.blockedFor,
 		ReportCrash:    cex.recordCrash,
 		ReportSurvival: cex.recordSurvival,
