--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -113,8 +113,6 @@
 	IsConfigurationCurrent func() bool
 	// ReadBody reads the body of a request; its errors are those of requestbody.
 	ReadBody func(request requestbody.Request) (*requestbody.Body, error)
-	// Choose picks a backend server; it fails with placement.ErrNoServer, or with placement.ErrBusy and a pick that holds
-	// the best forecast.
 	// Choose picks a backend server; it fails with placement.ErrNoServer, or with placement.ErrBusy or placement.ErrReserved
 	// and a pick that holds a forecast.
 	Choose func(request placement.Request, now time.Time) (placement.Pick, error)
