promptcache: move the estimate of cached prefixes out of the router

Only the product's own edge knew which replica had probably cached a prefix; the hints were a part of the router. The site's edge needs the same answer, so the hints become the package promptcache, and the home replica of a prefix goes with them. An estimate names a holder: a process of a server in one epoch of its group.

The tests of router and entry pass unchanged, and a choice still allocates nothing (TestChooseAllocatesNothing).

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/cumintally/cumintally/internal/promptcache"
 )
 
 // Policy names a load-balancing policy. All but PolicyScore are baselines for comparison.
@@ -40,9 +40,9 @@
 	// ScorePerRequest is the time that one more request adds to the score of a replica. Requests with UnseenRequests need
 	// it.
 	ScorePerRequest time.Duration
-	// HalfLife is the time in which the weight of a hint halves, since engines report evictions late or never.
+	// HalfLife is the time in which the weight of an estimate halves, since engines report evictions late or never.
 	HalfLife time.Duration
-	// MaxPrefixes bounds the number of prefixes with hints.
+	// MaxPrefixes bounds the number of prefixes with estimates.
 	MaxPrefixes int
 }
 
@@ -87,7 +87,7 @@
 // Router chooses among replicas.
 type Router struct {
 	config     Config
-	cacheHints *hints
+	estimator  *promptcache.Estimator
 	roundRobin atomic.Uint64
 
 	mu     sync.Mutex
@@ -100,29 +100,32 @@
 // New returns a router that draws random numbers from rng.
 func New(cfg Config, rng *rand.Rand) *Router {
 	return &Router{
-		config:     cfg,
-		cacheHints: newHints(cfg.MaxPrefixes, cfg.HalfLife),
-		random:     rng,
+		config: cfg,
+		estimator: promptcache.New(promptcache.Config{
+			HalfLife:    cfg.HalfLife,
+			MaxPrefixes: cfg.MaxPrefixes,
+		}),
+		random: rng,
 	}
 }
 
 // RecordSent records that a request was sent to a replica, which computes and caches its prefixes.
 func (rtr *Router) RecordSent(replicaID string, prefixes []uint64, now time.Time) {
-	rtr.cacheHints.recordCached(replicaID, prefixes, now)
+	rtr.estimator.RecordCached(holder(replicaID), prefixes, now)
 }
 
-// ForgetReplica drops the hints of a replica that has lost its cache.
+// ForgetReplica drops the estimates of a replica that has lost its cache.
 func (rtr *Router) ForgetReplica(replicaID string) {
-	rtr.cacheHints.forgetReplica(replicaID)
+	rtr.estimator.Forget(replicaID)
 }
 
 // RecordCacheEvent records an engine's report that it cached or evicted a prefix.
 func (rtr *Router) RecordCacheEvent(replicaID string, prefix uint64, evicted bool, now time.Time) {
 	if evicted {
-		rtr.cacheHints.recordEvicted(replicaID, prefix)
+		rtr.estimator.RecordEvicted(replicaID, prefix)
 		return
 	}
-	rtr.cacheHints.recordCached(replicaID, []uint64{prefix}, now)
+	rtr.estimator.RecordCached(holder(replicaID), []uint64{prefix}, now)
 }
 
 // Choose returns the index of the view of the chosen replica. There must be at least one view.
@@ -143,9 +146,9 @@
 // replica with the best score, they would overload it. The requests that the view lacks are therefore assumed to raise
 // the lowest scores to a common level, and the weight of a replica is the distance of its score below that level.
 func (rtr *Router) drawByScore(req Request, views []ReplicaView, now time.Time) int {
-	var mat matches
-	rtr.cacheHints.match(req.Prefixes, now, &mat)
-	home := rtr.homeReplica(req, views)
+	var mat promptcache.Matches
+	rtr.estimator.Match(req.Prefixes, now, &mat)
+	home := promptcache.Home(req.Prefixes, len(views), func(idx int) string { return views[idx].ReplicaID })
 	rtr.mu.Lock()
 	defer rtr.mu.Unlock()
 	scores := rtr.scores[:0]
@@ -191,43 +194,31 @@
 	return 0
 }
 
-// homeReplica returns the replica that daemons without hints agree on for the first prefix of a prompt, by rendezvous
-// hashing, so that the prefix is cached at one replica rather than at all of them. It returns -1 if the prompt has no
-// prefix.
-func (rtr *Router) homeReplica(req Request, views []ReplicaView) int {
-	if len(req.Prefixes) == 0 {
-		return -1
+// holder returns a replica as a holder of prefixes. ForgetReplica is called when its process or its group changes.
+func holder(replicaID string) promptcache.Holder {
+	return promptcache.Holder{
+		ServerID: replicaID,
 	}
-	home := -1
-	var most uint64
-	for idx := range views {
-		sum := xxhash.Sum64String(views[idx].ReplicaID) ^ req.Prefixes[0]
-		// Mixes the bits: the order of plain XOR results would depend on their high bits only.
-		sum *= 0x9e3779b97f4a7c15
-		sum ^= sum >> 29
-		if home < 0 || sum > most {
-			home = idx
-			most = sum
-		}
-	}
-	return home
 }
 
-// homeCachedShare is the share of a prompt that is assumed to be cached at its home replica before any hint is known.
-const homeCachedShare = 0.5
+// cachedShare returns the expected share of a prompt, given its number of prefixes, that is cached at a replica.
+func cachedShare(mat *promptcache.Matches, replicaID string, prefixes int) float64 {
+	cached, weight := mat.Leading(holder(replicaID))
+	return weight * float64(cached) / float64(prefixes+1)
+}
 
 // missedDeadlinePenalty is added to the score of a replica at which the request would miss its deadline.
 const missedDeadlinePenalty = time.Minute
 
 // score returns the expected time to the first token plus that of the tokens that follow.
-func (rtr *Router) score(req Request, viw *ReplicaView, mat *matches, home bool) time.Duration {
+func (rtr *Router) score(req Request, viw *ReplicaView, mat *promptcache.Matches, home bool) time.Duration {
 	slow := 1.0
 	if rtr.config.Step > 0 && viw.StepTime > rtr.config.Step {
 		slow = float64(viw.StepTime) / float64(rtr.config.Step)
 	}
-	hit := mat.cachedShare(viw.ReplicaID, len(req.Prefixes))
+	hit := cachedShare(mat, viw.ReplicaID, len(req.Prefixes))
 	if home {
-		hit = max(hit, homeCachedShare)
+		hit = max(hit, promptcache.HomeShare)
 	}
 	tokens := min(req.MaxTokens, rtr.config.MaxScoredTokens)
 	step := time.Duration(slow*float64(rtr.config.Step)) + time.Duration(viw.Running)*rtr.config.StepTimePerRequest
