placement: count the prefill saved by prefixes that servers have cached

On prepared machines a request went to any of the least loaded groups, also where an engine still had its prefix and would have saved most of the prefill. With [Routing] PromptRetention above 0, placement estimates which groups have cached the shared parts of a prompt, subtracts the time saved from the score and the forecast, and counts only the rest of the prompt as unread. A wait that exceeds the time saved therefore still sends the request elsewhere. An estimate ages, belongs to one process and epoch, and counts only where the request fits into the engine's memory, if the configuration names it (kv-capacity).

Tests of promptcache, placement, router, settings, verb, site, relay and entry pass with -race.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -13,6 +13,7 @@
 	"github.com/cumintally/cumintally/internal/coldlimit"
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/outlier"
+	"github.com/cumintally/cumintally/internal/promptcache"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/router"
 	"github.com/cumintally/cumintally/internal/serverlimit"
@@ -75,6 +76,10 @@
 	LimitShare func(service, model string, now time.Time) float64
 	// Seed returns the seed of the random draws of a router.
 	Seed func() uint64
+	// Prompts estimates which backend servers have cached which prefixes of prompts, nil if they retain none. ReportSaved is
+	// called with the estimated number of tokens that the chosen backend server need not read.
+	Prompts     *promptcache.Estimator
+	ReportSaved func(tokens int)
 }
 
 // Request describes the request to be placed.
@@ -84,6 +89,10 @@
 	Model          string
 	PromptTokens   int
 	ExpectedTokens int
+	// SharedParts holds the IDs of the leading parts of the prompt that other requests may share, and SharedTokens the number
+	// of tokens of each, 0 if it is not known.
+	SharedParts  []string
+	SharedTokens []int
 	// StartWithin is the time within which the request must start.
 	StartWithin time.Duration
 	// MaxUsefulForecast returns the longest forecast of the first token at which the request is still worth sending, given
@@ -101,6 +110,9 @@
 	Release       func()
 	// Forecast is the expected time to the first token, 0 for plain services.
 	Forecast time.Duration
+	// PrefillSaved is the part of the prefill that the backend server probably saves, since it has cached a prefix of the
+	// prompt. Forecast leaves it out.
+	PrefillSaved time.Duration
 	// UsualTime is the mean time that requests of the same service and model are in flight, 0 if it is not known.
 	UsualTime time.Duration
 	// Candidates is the number of backend servers that were considered.
@@ -199,12 +211,13 @@
 			healthy = slices.Delete(slices.Clone(healthy), idx, idx+1)
 			continue
 		}
-		began, release := plm.countRequest(request, srv.ID, now)
+		began, release, saved := plm.countPrompt(request, srv, loads[srv.ID].total(), now)
 		return Pick{
 			Server:        srv,
 			ResponseBegan: began,
 			Release:       release,
 			Forecast:      forecast,
+			PrefillSaved:  saved,
 			UsualTime:     usualTime,
 			Candidates:    len(candidates),
 		}, nil
@@ -361,11 +374,13 @@
 	if eng := req.Service.Engine; eng != nil && eng.PrefillRate > 0 {
 		rrq.Prefill = time.Duration(float64(req.PromptTokens) / eng.PrefillRate * float64(time.Second))
 	}
+	savings := plm.promptSavings(&req, srvs, loads, now)
+	req.applySavings(views, savings)
 	idx := rtr.Choose(rrq, views, now)
 	if mod == nil {
 		return idx, 0
 	}
-	return idx, admission.Forecast(req.Service.Engine, mod, loads[idx], req.PromptTokens)
+	return idx, admission.Forecast(req.Service.Engine, mod, loads[idx], req.uncachedTokens(savings, idx))
 }
 
 func unreadOnly(lod admission.Load) admission.Load {
--- a/internal/promptcache/estimator.go
+++ b/internal/promptcache/estimator.go
@@ -28,6 +28,7 @@
 type Holder struct {
 	ServerID  string
 	StartTime int64
+	Group     string
 	Epoch     uint64
 }
 
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -133,6 +133,9 @@
 			zap.Duration("forecast", run.pick.Forecast),
 		)
 	}
+	if run.pick.PrefillSaved > 0 {
+		fields = append(fields, zap.Duration("prefillSaved", run.pick.PrefillSaved))
+	}
 	if run.blocked {
 		fields = append(fields, zap.String("fingerprint", string(run.fingerprint)), zap.Strings("promptParts", run.requestHeaders.SharedParts))
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -30,7 +30,9 @@
 	// LastEventID is the ID of the event after which the caller resumes its stream, empty for a new one.
 	LastEventID string
 	// SharedParts holds the IDs of the parts of the prompt that other requests may share, in the order of the prompt.
-	SharedParts []string
+	// SharedTokens holds the number of tokens of each of them, 0 if the request states none.
+	SharedParts  []string
+	SharedTokens []int
 }
 
 // Identity is what requests that crash backend servers may have in common.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -252,6 +252,8 @@
 		Model:             run.requestHeaders.Model,
 		PromptTokens:      run.requestHeaders.PromptTokens,
 		ExpectedTokens:    expected,
+		SharedParts:       run.requestHeaders.SharedParts,
+		SharedTokens:      run.requestHeaders.SharedTokens,
 		StartWithin:       run.deadline.Sub(run.relay.clock.Now()),
 		MaxUsefulForecast: run.maxUsefulForecast(),
 		Avoid:             slices.Concat(run.failedServers, run.decliningServers),
--- a/internal/route/config.go
+++ b/internal/route/config.go
@@ -89,6 +89,8 @@
 	// MeanPromptTokens and MeanOutputTokens are the mean token counts of requests.
 	MeanPromptTokens int
 	MeanOutputTokens int
+	// MemoryTokens is the number of tokens of prompts and responses that the memory of a group holds, 0 if it is not known.
+	MemoryTokens int
 }
 
 // Model is a model that groups of VMs serve.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -82,6 +82,9 @@
 	// ExtraTime is the extra time of a request to the replica beyond its time there, such as the transfer to another
 	// availability zone.
 	ExtraTime time.Duration
+	// PrefillSaved is the time saved by prefixes that are cached there, for callers that keep their own estimate of them and
+	// pass no Prefixes.
+	PrefillSaved time.Duration
 }
 
 // Router chooses among replicas.
@@ -223,7 +226,7 @@
 	tokens := min(req.MaxTokens, rtr.config.MaxScoredTokens)
 	step := time.Duration(slow*float64(rtr.config.Step)) + time.Duration(viw.Running)*rtr.config.StepTimePerRequest
 	prefill := cmp.Or(req.Prefill, rtr.config.Prefill)
-	first := viw.ExtraTime + time.Duration(slow*float64(prefill)*(1-hit))
+	first := viw.ExtraTime - viw.PrefillSaved + time.Duration(slow*float64(prefill)*(1-hit))
 	// Requests of higher priority overtake lower ones in both queues.
 	first += rtr.queueTime(viw, step) * time.Duration(10-min(9, max(0, req.Priority))) / 10
 	if !viw.HasAdapter {
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -76,6 +76,7 @@
 		newKey("Routing", "AdapterLoad", "2s", "time to load an adapter", durationValue(&set.Routing.AdapterLoad, 0, time.Hour)),
 		newKey("Routing", "NearPercent", "5", "difference up to which two scores are as good", intValue(&set.Routing.NearPercent, 0, 100)),
 		newKey("Routing", "HalfLife", "60s", "time after which a hint of a cached prefix counts half", durationValue(&set.Routing.HalfLife, time.Second, time.Hour)),
+		newKey("Routing", "PromptRetention", "0s", "time for which engines on prepared machines retain a prompt, 0 if not", durationValue(&set.Routing.PromptRetention, 0, time.Hour)),
 		newKey("Site", "RetryRatio", "0.2", "repeats for each request of a service, over all daemons", floatValue(&set.Site.RetryRatio, 0, 10)),
 		newKey("Site", "RetryReserve", "100", "repeats of a service beyond the share, over all daemons", floatValue(&set.Site.RetryReserve, 0, 1000000)),
 		newKey("Site", "RetryWindow", "10s", "time over which repeats are counted", durationValue(&set.Site.RetryWindow, 100*time.Millisecond, time.Hour)),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -157,6 +157,9 @@
 	NearPercent int
 	// HalfLife is the time after which the weight of a hint of a cached prefix has halved.
 	HalfLife time.Duration
+	// PromptRetention is the time for which an engine on prepared machines is assumed to retain a prompt, 0 if it retains
+	// none.
+	PromptRetention time.Duration
 }
 
 // Site holds the limits of a deployment on prepared machines. The rates and counts apply to all daemons
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -59,6 +59,7 @@
 	demand.New,
 	newMesh,
 	newServerPaths,
+	newPromptCache,
 	newCrashExchange,
 	newGossip,
 	newPlacement,
@@ -141,6 +142,7 @@
 	cold *coldlimit.Limiter,
 	lim *serverlimit.Limiter,
 	sel *serverpath.Selector,
+	prc *promptCache,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *placement.Placement {
@@ -158,7 +160,9 @@
 			own := mtr.Rates(now)
 			return demand.Share(own, viw.SiteDemand(own, now), service, model, stc.daemonCount())
 		},
-		Seed: rand.Uint64,
+		Seed:        rand.Uint64,
+		Prompts:     prc.estimator,
+		ReportSaved: prc.reportSaved,
 		ReportStalled: func(all loadview.Load) {
 			log.Named("placement").Info("an engine sends nothing although responses are due; ejecting it for a while",
 				zap.String("server", all.Server), zap.Int("requests", all.Requests),
