Measure the estimate of cached prompts against engines that evict

make bench-prompts sends prompts that share parts to stand-in engines through the placement of four daemons, with the estimate off and on, and with caches that hold everything or a quarter of it. The stand-in gains SerialPrefill, since the sites' engines read one prompt after another.

The measurement showed three faults of the estimate, mended here. All documents had the same home server when the home followed from the first part, so it follows from the largest one. Four holders for each prefix hide every document behind a system prompt that all share; the site's edge remembers 16, the own edge still 4.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 .PHONY: build run test race soak vet format lint spec fuzz
 .PHONY: prove-control prove-config prove-groups prove-zones prove-requests prove-streams prove-bookings
-.PHONY: bench-relay bench-policy bench-emulator bench-bookings bench-control bench-capacity
+.PHONY: bench-relay bench-policy bench-emulator bench-prompts bench-bookings bench-control bench-capacity
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -104,6 +104,10 @@
 bench-emulator: build
 	$(BIN)/cumintally-standin emulate --seed $(SEED)
 
+# Sends prompts that share parts to stand-in engines that cache them, with the estimate of what is cached off and on.
+bench-prompts: build
+	$(BIN)/cumintally-standin bench-prompts --seed $(SEED)
+
 bench-bookings:
 	$(GO) test ./test/bookings -count=1 -timeout 20m -run Measure -v -measure 5s
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -376,6 +376,7 @@
 	}
 	savings := plm.promptSavings(&req, srvs, loads, now)
 	req.applySavings(views, savings)
+	rrq.UnseenRequests *= req.uncachedShare(savings)
 	idx := rtr.Choose(rrq, views, now)
 	if mod == nil {
 		return idx, 0
--- a/internal/placement/prompts.go
+++ b/internal/placement/prompts.go
@@ -31,7 +31,7 @@
 	}
 	var mat promptcache.Matches
 	plm.deps.Prompts.Match(pmt.Prefixes, now, &mat)
-	home := promptcache.Home(pmt.Prefixes, len(srvs), func(idx int) string { return srvs[idx].ID })
+	home := promptcache.Home(pmt.HomePrefix, len(srvs), func(idx int) string { return srvs[idx].ID })
 	for idx, srv := range srvs {
 		if !fitsMemory(req, occupancy(req, loads[idx])) {
 			continue
@@ -87,6 +87,21 @@
 	}
 }
 
+// uncachedShare returns the share of the usual work of a request that is left where its prefix is cached. The requests that
+// the view lacks are taken to find as much of their prompts as this one: they would otherwise seem to fill each holder of
+// a prefix within the staleness of the view, and the prefix would be read at every server.
+func (req *Request) uncachedShare(savings []promptSaving) float64 {
+	most := 0
+	for idx := range savings {
+		most = max(most, savings[idx].scoredTokens)
+	}
+	if most == 0 {
+		return 1
+	}
+	usual := routerConfig(req.Service.Engine, req.Model).ScorePerRequest
+	return max(0, 1-float64(req.savedTime(most))/float64(max(1, usual)))
+}
+
 // uncachedTokens returns the number of tokens of the prompt that the backend server with the given index has to read.
 func (req *Request) uncachedTokens(savings []promptSaving, idx int) int {
 	if savings == nil {
--- a/internal/placement/prompts_test.go
+++ b/internal/placement/prompts_test.go
@@ -37,8 +37,9 @@
 	}
 	if retention > 0 {
 		dps.Prompts = promptcache.New(promptcache.Config{
-			Retention:   retention,
-			MaxPrefixes: 1024,
+			Retention:        retention,
+			MaxPrefixes:      1024,
+			HoldersPerPrefix: 16,
 		})
 	}
 	cfg := placement.Config{
@@ -46,6 +47,7 @@
 	}
 	fix.plm = placement.New(cfg, dps, fix.trk, coldlimit.New(func() int { return 1 }, fix.now), fix.lim, fix.clk)
 	fix.svc.Engine.PrefillRate = 10_000
+	fix.svc.Engine.MeanPromptTokens = 7000
 	fix.group("one", "a", serverregistry.Ready)
 	fix.group("two", "a", serverregistry.Ready)
 	fix.req = placement.Request{
@@ -63,6 +65,7 @@
 func (fix *promptFixture) read(tst *testing.T) string {
 	pck, err := fix.plm.Choose(fix.req, fix.clk.Now())
 	qt.Assert(tst, err, qt.IsNil)
+	fix.clk.Advance(500 * time.Millisecond)
 	pck.ResponseBegan()
 	pck.Release()
 	return pck.Server.ID
@@ -100,15 +103,19 @@
 
 // Guards against both former policies: reading a shared prefix of 600 ms at every group, and queueing at the group that
 // has it cached though another one is idle and responds sooner. The estimate must not outlive a restart, a new epoch or
-// the retention.
+// the retention. The requests that the view lacks must not hide the saving, since they find their prefixes too.
 func TestBusyHolderLosesWhenTheWaitExceedsTheSaving(tst *testing.T) {
 	for name, row := range map[string]struct {
 		change func(fix *promptFixture, holder string)
 		// least and most bound the share of the requests that the holder receives.
 		least, most float64
 	}{
-		"idle holder":          {change: func(*promptFixture, string) {}, least: 1, most: 1},
-		"wait below saving":    {change: func(fix *promptFixture, holder string) { fix.announce(holder, 2, 2000) }, least: 1, most: 1},
+		"idle holder":       {change: func(*promptFixture, string) {}, least: 1, most: 1},
+		"wait below saving": {change: func(fix *promptFixture, holder string) { fix.announce(holder, 2, 2000) }, least: 1, most: 1},
+		"requests unseen": {change: func(fix *promptFixture, holder string) {
+			fix.announce(holder, 2, 2000)
+			fix.clk.Advance(400 * time.Millisecond)
+		}, least: 1, most: 1},
 		"wait above saving":    {change: func(fix *promptFixture, holder string) { fix.announce(holder, 2, 9000) }},
 		"full batch at holder": {change: func(fix *promptFixture, holder string) { fix.announce(holder, 26, 0) }},
 		"memory full at holder": {change: func(fix *promptFixture, holder string) {
--- a/internal/promptcache/estimator.go
+++ b/internal/promptcache/estimator.go
@@ -2,12 +2,13 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
 
-// holdersPerPrefix bounds the holders that are remembered for one prefix.
-const holdersPerPrefix = 4
+// maxHolders bounds the holders that are remembered for one prefix.
+const maxHolders = 16
 
 // shardCount is the number of shards, each with its own lock.
 const shardCount = 16
@@ -19,8 +20,10 @@
 	Retention time.Duration
 	// HalfLife is the time in which the weight of an estimate halves; 0 keeps the weight.
 	HalfLife time.Duration
-	// MaxPrefixes bounds the number of prefixes with estimates.
-	MaxPrefixes int
+	// MaxPrefixes bounds the number of prefixes with estimates, and HoldersPerPrefix the holders that are remembered for
+	// each, up to 16. Of a part that all prompts begin with, only as many holders are known.
+	MaxPrefixes      int
+	HoldersPerPrefix int
 }
 
 // Holder is a process of a server, in one epoch of its group, that may hold cached prefixes. Another process, and the
@@ -41,7 +44,7 @@
 
 type shard struct {
 	mu       sync.Mutex
-	prefixes map[uint64][holdersPerPrefix]estimate
+	prefixes map[uint64][]estimate
 }
 
 type estimate struct {
@@ -58,7 +61,7 @@
 		},
 	}
 	for idx := range est.shards {
-		est.shards[idx].prefixes = map[uint64][holdersPerPrefix]estimate{}
+		est.shards[idx].prefixes = map[uint64][]estimate{}
 	}
 	return est
 }
@@ -72,35 +75,39 @@
 	for _, pfx := range prefixes {
 		shd := est.shard(pfx)
 		shd.mu.Lock()
-		shd.add(pfx, hld, now, est.config.MaxPrefixes/shardCount)
+		shd.add(pfx, hld, now, &est.config)
 		shd.mu.Unlock()
 	}
 }
 
-func (shd *shard) add(prefix uint64, hld Holder, now time.Time, size int) {
+func (shd *shard) add(prefix uint64, hld Holder, now time.Time, cfg *Config) {
 	ents, ok := shd.prefixes[prefix]
-	if !ok && len(shd.prefixes) >= max(1, size) {
+	if !ok && len(shd.prefixes) >= max(1, cfg.MaxPrefixes/shardCount) {
 		// Go's map iteration order is random enough to choose the prefix to drop; a lost estimate costs one prefill.
 		for old := range shd.prefixes {
 			delete(shd.prefixes, old)
 			break
 		}
 	}
+	ent := estimate{
+		holder:   hld,
+		cachedAt: now,
+	}
 	oldest := 0
 	for idx := range ents {
 		if ents[idx].holder.ServerID == hld.ServerID {
-			oldest = idx
-			break
+			ents[idx] = ent
+			return
 		}
 		if ents[idx].cachedAt.Before(ents[oldest].cachedAt) {
 			oldest = idx
 		}
 	}
-	ents[oldest] = estimate{
-		holder:   hld,
-		cachedAt: now,
+	if len(ents) < min(max(1, cfg.HoldersPerPrefix), maxHolders) {
+		shd.prefixes[prefix] = append(ents, ent)
+		return
 	}
-	shd.prefixes[prefix] = ents
+	ents[oldest] = ent
 }
 
 // RecordEvicted records a report that a server evicted a prefix.
@@ -117,18 +124,8 @@
 }
 
 func (shd *shard) remove(prefix uint64, serverID string) {
-	ents, ok := shd.prefixes[prefix]
-	if !ok {
-		return
-	}
-	left := false
-	for idx := range ents {
-		if ents[idx].holder.ServerID == serverID {
-			ents[idx] = estimate{}
-		}
-		left = left || ents[idx].holder.ServerID != ""
-	}
-	if !left {
+	ents := slices.DeleteFunc(shd.prefixes[prefix], func(ent estimate) bool { return ent.holder.ServerID == serverID })
+	if len(ents) == 0 {
 		delete(shd.prefixes, prefix)
 		return
 	}
@@ -163,22 +160,24 @@
 // last one. The prefixes are those of one prompt, shortest first.
 func (est *Estimator) Match(prefixes []uint64, now time.Time, mat *Matches) {
 	for pos, pfx := range prefixes {
-		shd := est.shard(pfx)
-		shd.mu.Lock()
-		ents, ok := shd.prefixes[pfx]
-		shd.mu.Unlock()
-		if !ok {
+		if !est.matchOne(pfx, pos, now, mat) {
 			return
 		}
-		for idx := range ents {
-			if ents[idx].holder.ServerID == "" {
-				continue
-			}
-			if wgt := est.ageWeight(now.Sub(ents[idx].cachedAt)); wgt > 0 {
-				mat.add(ents[idx].holder, pos, wgt)
-			}
+	}
+}
+
+// matchOne adds the holders of the prefix at a position. It returns false if there is none.
+func (est *Estimator) matchOne(prefix uint64, pos int, now time.Time, mat *Matches) bool {
+	shd := est.shard(prefix)
+	shd.mu.Lock()
+	defer shd.mu.Unlock()
+	ents := shd.prefixes[prefix]
+	for idx := range ents {
+		if wgt := est.ageWeight(now.Sub(ents[idx].cachedAt)); wgt > 0 {
+			mat.add(ents[idx].holder, pos, wgt)
 		}
 	}
+	return len(ents) > 0
 }
 
 func (est *Estimator) ageWeight(age time.Duration) float64 {
--- a/internal/promptcache/estimator_test.go
+++ b/internal/promptcache/estimator_test.go
@@ -23,8 +23,9 @@
 
 func newEstimator() *promptcache.Estimator {
 	return promptcache.New(promptcache.Config{
-		Retention:   retention,
-		MaxPrefixes: 64,
+		Retention:        retention,
+		MaxPrefixes:      64,
+		HoldersPerPrefix: 16,
 	})
 }
 
--- a/internal/promptcache/matches.go
+++ b/internal/promptcache/matches.go
@@ -2,7 +2,7 @@
 
 // Matches holds the holders that the estimates name for one prompt; the zero value names none.
 type Matches struct {
-	holders [2 * holdersPerPrefix]match
+	holders [maxHolders]match
 	count   int
 }
 
--- a/internal/promptcache/prompt.go
+++ b/internal/promptcache/prompt.go
@@ -12,6 +12,9 @@
 	Prefixes []uint64
 	// Tokens holds the number of tokens of each prefix.
 	Tokens []int
+	// HomePrefix is the prefix whose home server is the prompt's: the one that ends with the largest part, such as a
+	// document. The first part may be the same for all prompts, and the last one changes with each turn of a session.
+	HomePrefix uint64
 }
 
 // NewPrompt returns a prompt whose prefixes consist of the leading parts with the given IDs, read for a model. The
@@ -23,17 +26,22 @@
 		Tokens:   make([]int, 0, len(parts)),
 	}
 	sum := xxhash.Sum64String(model)
-	tokens := 0
+	tokens, largest := 0, -1
 	for idx, part := range parts {
-		var before [8]byte
-		binary.LittleEndian.PutUint64(before[:], sum)
+		var seed [8]byte
+		binary.LittleEndian.PutUint64(seed[:], sum)
 		hsh := xxhash.New()
-		_, _ = hsh.Write(before[:]) // xxhash never returns an error.
+		_, _ = hsh.Write(seed[:]) // xxhash never returns an error.
 		_, _ = hsh.WriteString(part)
 		sum = hsh.Sum64()
+		before := tokens
 		if idx < len(partTokens) {
 			tokens = min(tokens+max(0, partTokens[idx]), max(0, maxTokens))
 		}
+		if tokens-before > largest {
+			largest = tokens - before
+			pmt.HomePrefix = sum
+		}
 		pmt.Prefixes = append(pmt.Prefixes, sum)
 		pmt.Tokens = append(pmt.Tokens, tokens)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,9 @@
 	"github.com/cumintally/cumintally/internal/promptcache"
 )
 
+// holdersPerPrefix bounds the replicas that are remembered for one prefix.
+const holdersPerPrefix = 4
+
 // Policy names a load-balancing policy. All but PolicyScore are baselines for comparison.
 type Policy string
 
@@ -105,8 +108,9 @@
 	return &Router{
 		config: cfg,
 		estimator: promptcache.New(promptcache.Config{
-			HalfLife:    cfg.HalfLife,
-			MaxPrefixes: cfg.MaxPrefixes,
+			HalfLife:         cfg.HalfLife,
+			MaxPrefixes:      cfg.MaxPrefixes,
+			HoldersPerPrefix: holdersPerPrefix,
 		}),
 		random: rng,
 	}
@@ -151,7 +155,10 @@
 func (rtr *Router) drawByScore(req Request, views []ReplicaView, now time.Time) int {
 	var mat promptcache.Matches
 	rtr.estimator.Match(req.Prefixes, now, &mat)
-	home := promptcache.Home(req.Prefixes, len(views), func(idx int) string { return views[idx].ReplicaID })
+	home := -1
+	if len(req.Prefixes) > 0 {
+		home = promptcache.Home(req.Prefixes[0], len(views), func(idx int) string { return views[idx].ReplicaID })
+	}
 	rtr.mu.Lock()
 	defer rtr.mu.Unlock()
 	scores := rtr.scores[:0]
--- a/internal/site/promptcache.go
+++ b/internal/site/promptcache.go
@@ -8,9 +8,12 @@
 	"github.com/cumintally/cumintally/internal/settings"
 )
 
-// maxPromptPrefixes bounds the prefixes with estimates: about 4 MB of estimates, which fits beside everything else into
-// the 184 MB of the smallest entry VM.
-const maxPromptPrefixes = 1 << 14
+// maxPromptPrefixes and maxPromptHolders bound the estimates to about 5 MB (72 bytes each), which fits beside everything
+// else into the 184 MB of the smallest entry VM.
+const (
+	maxPromptPrefixes = 1 << 12
+	maxPromptHolders  = 16
+)
 
 // promptCache holds the estimates of cached prompts and their metrics.
 type promptCache struct {
@@ -26,8 +29,9 @@
 	}
 	prc := &promptCache{
 		estimator: promptcache.New(promptcache.Config{
-			Retention:   set.Routing.PromptRetention,
-			MaxPrefixes: maxPromptPrefixes,
+			Retention:        set.Routing.PromptRetention,
+			MaxPrefixes:      maxPromptPrefixes,
+			HoldersPerPrefix: maxPromptHolders,
 		}),
 		reused:      metrics.GetOrRegisterCounter("PromptCacheRequests", met),
 		savedTokens: metrics.GetOrRegisterCounter("PromptCacheSavedTokens", met),
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -47,7 +47,8 @@
 	for len(eng.queue) > 0 && len(eng.batch) < eng.cfg.MaxBatch {
 		str := eng.queue[0]
 		eng.queue = eng.queue[1:]
-		str.firstTokenAt = now.Add(eng.prefillTime(flt, str.req.Prompt))
+		str.firstTokenAt = eng.prefillStart(now).Add(eng.prefillTime(flt, str.req.Prompt))
+		eng.prefillUntil = str.firstTokenAt
 		eng.batch = append(eng.batch, str)
 	}
 	rest := eng.batch[:0]
@@ -77,6 +78,14 @@
 	return eng.stepTime(flt) + time.Duration(max(0, len(eng.batch)-1))*eng.cfg.StepTimePerRequest, true
 }
 
+// prefillStart returns the time at which the engine begins to read the next prompt.
+func (eng *Engine) prefillStart(now time.Time) time.Time {
+	if eng.cfg.SerialPrefill && eng.prefillUntil.After(now) {
+		return eng.prefillUntil
+	}
+	return now
+}
+
 // stepTime returns the time of a step with one request. A straggling member slows the whole group.
 func (eng *Engine) stepTime(flt Faults) time.Duration {
 	return max(stretched(flt, eng.cfg.BaseStepTime), eng.memberStepTime)
--- a/internal/standin/engine/config.go
+++ b/internal/standin/engine/config.go
@@ -21,6 +21,8 @@
 	MaxBatch int
 	// PrefillTime is the time to the first token of a prompt that is not cached.
 	PrefillTime time.Duration
+	// SerialPrefill makes the engine read one prompt after another; otherwise it reads those of a batch side by side.
+	SerialPrefill bool
 	// LoadTime is how long the engine loads a model after an order.
 	LoadTime time.Duration
 	// WarmAfter is the number of finished requests after which a cold engine is warm.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -38,6 +38,8 @@
 	queue             []*stream
 	batch             []*stream
 	decoding          bool
+	// prefillUntil is the end of the last prefill that has begun, if prompts are read one after another.
+	prefillUntil time.Time
 }
 
 // New returns an engine that calls crash where a real engine would end its process.
--- a/internal/standin/verb/command.go
+++ b/internal/standin/verb/command.go
@@ -24,6 +24,7 @@
 	newBenchRelay,
 	newBenchPolicy,
 	newEmulate,
+	newBenchPrompts,
 }
 
 // New returns the cumintally-standin command with all of its subcommands.
