verb: add cumintally explain, which shows where a request would go now

Why a daemon prefers or excludes a server could only be guessed from its log lines afterwards. `cumintally explain` asks a daemon on prepared machines (GET /explain beside /metrics) and prints route, workspace, model and the candidates with forecast, wait, prefill saved, share and what excludes each, as text or JSON. It exits with 1 if the request would be rejected, if the question is invalid, or if the daemon cannot be reached, which it names.

Placement.Explain estimates the shares by 400 draws of the same router, so that it has no second copy of the score. It counts no request, takes nothing from a limiter and ejects no server; a test makes 50 explanations of a cold server, which then still gets all of its eight requests.

--- /dev/null
+++ b/internal/placement/explain.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/cumintally/cumintally/internal/admission"
+	"github.com/cumintally/cumintally/internal/explanation"
+	"github.com/cumintally/cumintally/internal/serverregistry"
+)
+
+// explainedDraws is the number of random draws by which the share of each candidate is estimated, to a few hundredths.
+const explainedDraws = 400
+
+// Explain returns what Choose would consider for a request: each candidate, what excludes it, and the share of such
+// requests that it would get. The error is the one with which Choose would fail. It counts no request, takes nothing
+// from a limiter and ejects no server.
+func (plm *Placement) Explain(req Request, now time.Time) ([]explanation.Candidate, error) {
+	limitShare := sync.OnceValue(func() float64 { return plm.deps.LimitShare(req.Service.Name, req.Model, now) })
+	var srvs, usable, failing []*serverregistry.Server
+	for _, srv := range plm.deps.Registrations().Service(req.Service.Name) {
+		if req.Service.Engine == nil || srv.Membership.Group != "" && srv.Membership.Rank == 0 {
+			srvs = append(srvs, srv)
+		}
+	}
+	loads := plm.knownLoads(srvs, now)
+	explained := make([]explanation.Candidate, 0, len(srvs))
+	for _, srv := range srvs {
+		cnd := plm.explainServer(req, srv, loads, now)
+		cnd.Excluded = plm.excludedBy(req, srv, limitShare, now)
+		if cnd.Excluded == "" {
+			cnd.Excluded = plm.failure(req, srv.ID, loads[srv.ID], now)
+			if cnd.Excluded == "" {
+				usable = append(usable, srv)
+			} else {
+				failing = append(failing, srv)
+			}
+		}
+		if cnd.Excluded == "" && plm.tooLate(&req, cnd.Forecast) {
+			cnd.Excluded = "its first token is expected too late"
+		}
+		explained = append(explained, cnd)
+	}
+	// Choose tries servers that fail rather than none.
+	if len(usable) == 0 {
+		usable = failing
+	}
+	if len(usable) == 0 {
+		return explained, errors.Annotatef(ErrNoServer, "service %s, model %q: %d considered", req.Service.Name, req.Model, len(srvs))
+	}
+	return explained, plm.drawShares(req, usable, loads, explained, now)
+}
+
+// drawShares sets the share of each candidate. It fails with ErrBusy if every draw would come too late.
+func (plm *Placement) drawShares(
+	req Request,
+	usable []*serverregistry.Server,
+	loads map[string]knownLoad,
+	explained []explanation.Candidate,
+	now time.Time,
+) error {
+	sent := 0
+	for range explainedDraws {
+		idx, forecast := plm.drawCandidate(req, usable, loads, now)
+		if plm.tooLate(&req, forecast) {
+			continue
+		}
+		sent++
+		pos := slices.IndexFunc(explained, func(cnd explanation.Candidate) bool { return cnd.Server == usable[idx].ID })
+		explained[pos].Share += 1.0 / explainedDraws
+	}
+	if sent == 0 {
+		return errors.Annotatef(ErrBusy, "service %s, model %q: first token expected too late at all %d", req.Service.Name, req.Model, len(usable))
+	}
+	return nil
+}
+
+// explainServer returns the load and the forecast at a backend server.
+func (plm *Placement) explainServer(req Request, srv *serverregistry.Server, loads map[string]knownLoad, now time.Time) explanation.Candidate {
+	lod := loads[srv.ID].total()
+	cnd := explanation.Candidate{
+		Server:       srv.ID,
+		Zone:         srv.Zone,
+		Requests:     lod.Requests,
+		UnreadTokens: lod.UnreadTokens,
+	}
+	mod := req.RequestedModel()
+	if mod == nil {
+		return cnd
+	}
+	only := []*serverregistry.Server{srv}
+	_, cnd.Forecast = plm.drawCandidate(req, only, loads, now)
+	if savings := plm.promptSavings(&req, only, []admission.Load{lod}, now); savings != nil {
+		cnd.PrefillSaved = req.savedTime(savings[0].tokens)
+	}
+	idle := admission.Forecast(req.Service.Engine, mod, admission.Load{}, req.PromptTokens)
+	cnd.Wait = max(0, cnd.Forecast+cnd.PrefillSaved-idle)
+	return cnd
+}
+
+// excludedBy returns why a backend server is no candidate for a request now, empty if it is one.
+func (plm *Placement) excludedBy(req Request, srv *serverregistry.Server, limitShare func() float64, now time.Time) string {
+	switch {
+	case srv.Draining:
+		return "it is draining"
+	case !plm.deps.InService(srv.Zone):
+		return "its zone is out of service"
+	case req.Service.Engine != nil && !plm.serves(plm.deps.Registrations(), req, srv):
+		return "its group serves another model, is not open, or lacks a member"
+	case srv.Cold(now) && req.Service.ColdRate > 0 && !plm.coldLimiter.Allowed(srv.ID, plm.coldRate(req.Service), now):
+		return "it is cold, and its rate is used up"
+	case !plm.outliers.PausedUntil(srv.ID, srv.StartTime, now).IsZero():
+		return "it asked for a pause"
+	case plm.limiter.WaitTime(srv.ID, srv.StartTime, limitShare, now) > 0:
+		return "this daemon's share of its limit is used up"
+	default:
+		return ""
+	}
+}
+
+// failure returns how a candidate fails requests, empty if it does not. Of a stall it examines the same as ejectIfStalled,
+// without the ejection.
+func (plm *Placement) failure(req Request, id string, knl knownLoad, now time.Time) string {
+	if !plm.outliers.Usable(id, now) {
+		return "it is ejected after failures or a stall"
+	}
+	all := knl.others.Add(knl.own)
+	timeout := stallTimeout
+	if req.Service.Engine == nil {
+		timeout = max(stallTimeout, plainStallFactor*plm.usualTime(&req))
+	}
+	if all.ResponseDueFor > timeout && all.SinceLastByte > timeout && now.Sub(plm.outliers.LastProgress(id)) > timeout {
+		return "it sends nothing though responses are due"
+	}
+	return ""
+}
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -67,6 +67,7 @@
 	newLease,
 	newAllocationWriter,
 	newSiteController,
+	newExplainer,
 }
 
 // storeDialTimeout bounds the dialing of the store, which responds within milliseconds.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -59,6 +59,7 @@
 	Gossip     *gossip
 	Crashes    *crashExchange
 	Mesh       *peer.Mesh
+	Explainer  *explainer
 }
 
 // New assembles a daemon from its settings. It connects to backend servers by dialServer, usually Dial.
@@ -209,5 +210,6 @@
 func (dmn *Daemon) metrics() http.Handler {
 	rtr := chi.NewRouter()
 	rtr.Method(http.MethodGet, "/metrics", exposition.New(dmn.dep.Metrics))
+	rtr.Method(http.MethodGet, "/explain", dmn.dep.Explainer)
 	return rtr
 }
--- a/internal/verb/commands.go
+++ b/internal/verb/commands.go
@@ -10,6 +10,7 @@
 	newConfig,
 	newZone,
 	newStatus,
+	newExplain,
 	newReport,
 	newSettings,
 	newLocal,
