promptcache: bound the estimate of engines' memory to 9 MB

Where the configuration names the engines' memory, up to 4,096 servers with 4,096 prefixes each were remembered, more than an entry VM of 184 MB holds, and servers that are gone stayed until then. Now 128 servers with 512 prefixes each are, and the server used least recently makes room.

Tests of promptcache and placement pass with -race.

--- a/internal/promptcache/memory.go
+++ b/internal/promptcache/memory.go
@@ -6,11 +6,12 @@
 	"time"
 )
 
+// maxMemories bounds the servers whose memory is estimated, and maxRetained the prefixes of each, together to about 9 MB
+// (130 bytes for each prefix). Only heads of groups receive prompts; a server beyond the bound loses its estimate of the
+// memory, and its prefixes only age.
 const (
-	// maxMemories bounds the servers whose memory is estimated: several times the servers of the largest site (690).
-	maxMemories = 4096
-	// maxRetained bounds the prefixes in the estimate of one server's memory.
-	maxRetained = 4096
+	maxMemories = 128
+	maxRetained = 512
 )
 
 // Occupancy is the load on the memory of an engine in tokens.
@@ -91,15 +92,27 @@
 	}
 }
 
-// makeRoom drops the estimate of any one server if there are too many.
+// makeRoom drops the estimate of the server that was used least recently if there are too many.
 func (mms *memories) makeRoom() {
 	if len(mms.servers) < maxMemories {
 		return
 	}
-	for id := range mms.servers {
-		delete(mms.servers, id)
-		return
+	oldest := ""
+	for id, mem := range mms.servers {
+		if oldest == "" || mem.lastUse().Before(mms.servers[oldest].lastUse()) {
+			oldest = id
+		}
+	}
+	delete(mms.servers, oldest)
+}
+
+// lastUse returns the time of the last use of any prefix, the zero time if there is none.
+func (mem *memory) lastUse() time.Time {
+	if elm := mem.recency.Front(); elm != nil {
+		ret, _ := elm.Value.(retained)
+		return ret.usedAt
 	}
+	return time.Time{}
 }
 
 func (mem *memory) use(prefix uint64, tokens int, now time.Time) {
