--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -14,6 +14,7 @@
 	"github.com/cumintally/cumintally/internal/firsttoken"
 	"github.com/cumintally/cumintally/internal/loadview"
 	"github.com/cumintally/cumintally/internal/outlier"
+	"github.com/cumintally/cumintally/internal/promptcache"
 	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/router"
@@ -89,6 +90,10 @@
 	Reserve func(key reservation.Key, class reservation.Class, onTime reservation.OnTime, now time.Time) reservation.Verdict
 	// Seed returns the seed of the random draws of a router.
 	Seed func() uint64
+	// Prompts estimates which backend servers have cached which prefixes of prompts, nil if they retain none. ReportSaved is
+	// called with the estimated number of tokens that the chosen backend server need not read.
+	Prompts     *promptcache.Estimator
+	ReportSaved func(tokens int)
 }
 
 // Request describes the request to be placed.
@@ -98,6 +103,10 @@
 	Model          string
 	PromptTokens   int
 	ExpectedTokens int
+	// SharedParts holds the IDs of the leading parts of the prompt that other requests may share, and SharedTokens the number
+	// of tokens of each, 0 if it is not known.
+	SharedParts  []string
+	SharedTokens []int
 	// StartWithin is the time within which the request must start.
 	StartWithin time.Duration
 	// MaxUsefulForecast returns the longest forecast of the first token at which the request is still worth sending, given
@@ -122,6 +131,9 @@
 	// earlier forecasts had.
 	Forecast   time.Duration
 	Correction firsttoken.Error
+	// PrefillSaved is the part of the prefill that the backend server probably saves, since it has cached a prefix of the
+	// prompt. Forecast leaves it out.
+	PrefillSaved time.Duration
 	// Exempt is set if the request was sent because its class would starve, though more urgent requests need the capacity.
 	Exempt bool
 	// UsualTime is the mean time that requests of the same service and model are in flight, 0 if it is not known.
@@ -232,7 +244,7 @@
 			continue
 		}
 		plm.reportUnregistered(srv)
-		began, release := plm.countRequest(request, srv.ID, now)
+		began, release, saved := plm.countPrompt(request, srv, loads[srv.ID].total(), now)
 		record := plm.firstTokenRecorder(&request, exp, now)
 		return Pick{
 			Server: srv,
@@ -240,12 +252,13 @@
 				began()
 				record()
 			},
-			Release:    release,
-			Forecast:   forecast,
-			Correction: exp.correction,
-			Exempt:     verdict == reservation.Exempt,
-			UsualTime:  usualTime,
-			Candidates: len(candidates),
+			Release:      release,
+			Forecast:     forecast,
+			Correction:   exp.correction,
+			PrefillSaved: saved,
+			Exempt:       verdict == reservation.Exempt,
+			UsualTime:    usualTime,
+			Candidates:   len(candidates),
 		}, nil
 	}
 	pck := Pick{
@@ -400,8 +413,13 @@
 	if eng := req.Service.Engine; eng != nil && eng.PrefillRate > 0 {
 		rrq.Prefill = time.Duration(float64(req.PromptTokens) / eng.PrefillRate * float64(time.Second))
 	}
+	savings := plm.promptSavings(&req, srvs, loads, now)
+	req.applySavings(views, savings)
+	rrq.UnseenRequests *= req.uncachedShare(savings)
 	idx := rtr.Choose(rrq, views, now)
-	return idx, plm.expect(&req, loads[idx], now)
+	uncached := req
+	uncached.PromptTokens = req.uncachedTokens(savings, idx)
+	return idx, plm.expect(&uncached, loads[idx], now)
 }
 
 func unreadOnly(lod admission.Load) admission.Load {
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -65,6 +65,7 @@
 	demand.New,
 	newMesh,
 	newServerPaths,
+	newPromptCache,
 	newCrashExchange,
 	newGossip,
 	newPlacement,
@@ -75,6 +76,7 @@
 	newLease,
 	newAllocationWriter,
 	newSiteController,
+	newExplainer,
 }
 
 // storeDialTimeout bounds the dialing of the store, which responds within milliseconds.
@@ -152,6 +154,7 @@
 	sel *serverpath.Selector,
 	lrn *firsttoken.Learner,
 	ldg *reservation.Ledger,
+	prc *promptCache,
 	met metrics.Registry,
 	clk clockwork.Clock,
 	log *zap.Logger,
@@ -177,6 +180,8 @@
 		RecordFirstToken: newFirstTokenRecorder(lrn, met, log),
 		Reserve:          ldg.Decide,
 		Seed:             rand.Uint64,
+		Prompts:          prc.estimator,
+		ReportSaved:      prc.reportSaved,
 		ReportStalled: func(all loadview.Load) {
 			log.Named("placement").Info("an engine sends nothing although responses are due; ejecting it for a while",
 				zap.String("server", all.Server), zap.Int("requests", all.Requests),
