--- a/internal/outlier/tracker.go
+++ b/internal/outlier/tracker.go
@@ -30,6 +30,8 @@
 	// ejectedUntil is the end of the latest ejection, and ejectionTime its duration.
 	ejectedUntil time.Time
 	ejectionTime time.Duration
+	// outage is set if the latest ejection is due to an outage and not to the share of failures.
+	outage bool
 	// lastProgress is the time at which the server last sent bytes to this daemon.
 	lastProgress time.Time
 	// pausedUntil is the time until which the server asked for no requests. It applies only to the process whose start
@@ -87,6 +89,17 @@
 	rec := trk.record(server)
 	if !now.Before(rec.ejectedUntil) {
 		rec.eject(now)
+		rec.outage = true
+	}
+}
+
+// EndOutage ends the ejection of a server by Eject, because another daemon found that the server has returned. An ejection
+// for the share of failures goes on.
+func (trk *Tracker) EndOutage(server string) {
+	trk.mu.Lock()
+	defer trk.mu.Unlock()
+	if rec, ok := trk.servers[server]; ok && rec.outage {
+		rec.ejectedUntil = time.Time{}
 	}
 }
 
@@ -103,6 +116,7 @@
 func (rec *record) eject(now time.Time) {
 	rec.ejectionTime = min(max(2*rec.ejectionTime, minEjection), maxEjection)
 	rec.ejectedUntil = now.Add(rec.ejectionTime)
+	rec.outage = false
 	// The share restarts at half the threshold, so that the next outcomes decide anew: two failures in a row suffice
 	// for the next ejection.
 	rec.failureShare = ejectionThreshold / 2
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,6 +17,7 @@
 	"github.com/cumintally/cumintally/internal/router"
 	"github.com/cumintally/cumintally/internal/serverlimit"
 	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/suspicion"
 )
 
 const (
@@ -69,6 +70,12 @@
 	OthersLoad func(server string, now time.Time) loadview.Load
 	// ReportStalled is called when a stalled backend server is ejected, with the load that all daemons have in flight there.
 	ReportStalled func(all loadview.Load)
+	// Assess returns how each backend server is used in view of the failures that daemons report, nil if all are trusted.
+	// BeginTrial records that one is sent a request to find out whether its failure has ended; it returns false if another
+	// daemon has just done so. ReportFailure reports a server that this daemon found stalled.
+	Assess        func(srvs []*serverregistry.Server, repeatable bool, now time.Time) []suspicion.Verdict
+	BeginTrial    func(srv *serverregistry.Server, now time.Time) bool
+	ReportFailure func(srv *serverregistry.Server, kind suspicion.Kind, now time.Time)
 	// OthersStaleness returns the mean staleness of the load of the other daemons.
 	OthersStaleness func(now time.Time) time.Duration
 	// LimitShare returns the share of this daemon in the requests that all daemons send for a model of a service.
@@ -91,6 +98,8 @@
 	MaxUsefulForecast func(idleForecast time.Duration) time.Duration
 	// Avoid holds the IDs of backend servers that failed the request.
 	Avoid []string
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
 }
 
 // Pick is a chosen backend server. The caller must call ResponseBegan when the response begins, and Release when the
@@ -99,6 +108,9 @@
 	Server        *serverregistry.Server
 	ResponseBegan func()
 	Release       func()
+	// SetReading tells that the caller reads a response that has begun, or that it does not while it waits for a slow
+	// receiver. It may be nil.
+	SetReading func(reading bool)
 	// Forecast is the expected time to the first token, 0 for plain services.
 	Forecast time.Duration
 	// UsualTime is the mean time that requests of the same service and model are in flight, 0 if it is not known.
@@ -132,6 +144,12 @@
 	requests     int
 	unreadTokens int
 	busySince    time.Time
+	// writing counts the streams whose events are being read. It is above 0 since writingSince. The latest one is of the
+	// given engine service and model.
+	writing      int
+	writingSince time.Time
+	engine       *route.Engine
+	model        *route.Model
 }
 
 type routerKey struct {
@@ -167,19 +185,27 @@
 	limitShare := sync.OnceValue(func() float64 { return plm.deps.LimitShare(request.Service.Name, request.Model, now) })
 	candidates, resumesIn := plm.candidates(request, limitShare, now)
 	loads := plm.knownLoads(candidates, now)
-	// If every candidate fails requests or is stalled, all of them are tried rather than none, but only for a request
-	// that no backend server has failed yet.
 	usualTime := plm.usualTime(&request)
 	stalledAfter := stallTimeout
 	if request.Service.Engine == nil {
 		stalledAfter = max(stallTimeout, plainStallFactor*usualTime)
 	}
-	healthy := slices.DeleteFunc(slices.Clone(candidates), func(srv *serverregistry.Server) bool {
-		return slices.Contains(request.Avoid, srv.ID) || !plm.outliers.Usable(srv.ID, now) || plm.ejectIfStalled(srv.ID, loads[srv.ID], stalledAfter, now)
+	return plm.chooseByHealth(request, candidates, loads, stalledAfter, now, func(healthy []*serverregistry.Server) (Pick, error) {
+		return plm.chooseAmong(request, candidates, healthy, loads, usualTime, resumesIn, limitShare, now)
 	})
-	if len(healthy) == 0 && len(request.Avoid) == 0 {
-		healthy = candidates
-	}
+}
+
+// chooseAmong picks one of the healthy candidates. It fails as Choose does.
+func (plm *Placement) chooseAmong(
+	request Request,
+	candidates []*serverregistry.Server,
+	healthy []*serverregistry.Server,
+	loads map[string]knownLoad,
+	usualTime time.Duration,
+	resumesIn time.Duration,
+	limitShare func() float64,
+	now time.Time,
+) (Pick, error) {
 	for len(healthy) > 0 {
 		idx, forecast := plm.drawCandidate(request, healthy, loads, now)
 		srv := healthy[idx]
@@ -199,11 +225,12 @@
 			healthy = slices.Delete(slices.Clone(healthy), idx, idx+1)
 			continue
 		}
-		began, release := plm.countRequest(request, srv.ID, now)
+		began, setReading, release := plm.countRequest(request, srv.ID, now)
 		return Pick{
 			Server:        srv,
 			ResponseBegan: began,
 			Release:       release,
+			SetReading:    setReading,
 			Forecast:      forecast,
 			UsualTime:     usualTime,
 			Candidates:    len(candidates),
@@ -240,21 +267,6 @@
 	return forecast > req.MaxUsefulForecast(admission.Forecast(req.Service.Engine, mod, admission.Load{}, req.PromptTokens))
 }
 
-// ejectIfStalled reports whether a backend server is stalled, and ejects it if it is. A server is stalled if a response
-// has been due for longer than timeout and the server has sent nothing to any daemon for that time, as does a group that
-// lost a member: it accepts requests and responds to none. The loads that all daemons announce are examined, so that one
-// stalled request suffices and not every daemon loses one of its own.
-func (plm *Placement) ejectIfStalled(id string, knl knownLoad, timeout time.Duration, now time.Time) bool {
-	all := knl.others.Add(knl.own)
-	if all.ResponseDueFor <= timeout || all.SinceLastByte <= timeout || now.Sub(plm.outliers.LastProgress(id)) <= timeout {
-		return false
-	}
-	// The requests that revealed the stall end while the group stays stalled; the ejection keeps new requests away.
-	plm.outliers.Eject(id, now)
-	plm.deps.ReportStalled(all)
-	return true
-}
-
 // load returns the load that this daemon has in flight at a backend server. The caller holds the lock.
 func (plm *Placement) load(id string, own *ownLoad, now time.Time) loadview.Load {
 	last := plm.outliers.LastProgress(id)
@@ -466,8 +478,9 @@
 }
 
 // countRequest counts a request as in flight at a backend server until release is called. The tokens of its prompt
-// count as unread until began is called.
-func (plm *Placement) countRequest(req Request, id string, now time.Time) (began, release func()) {
+// count as unread until began is called. The events of its response are read from then on, except while setReading says
+// otherwise.
+func (plm *Placement) countRequest(req Request, id string, now time.Time) (began func(), setReading func(reading bool), release func()) {
 	plm.mu.Lock()
 	defer plm.mu.Unlock()
 	own, ok := plm.ownLoads[id]
@@ -486,25 +499,41 @@
 	}
 	// A request without a response says nothing about the usual time: it may have hung.
 	responseBegan := false
+	stm := &countedStream{
+		own:    own,
+		engine: req.Service.Engine,
+		model:  req.RequestedModel(),
+	}
 	began = func() {
 		plm.mu.Lock()
 		defer plm.mu.Unlock()
+		if !responseBegan {
+			stm.setReading(true, plm.clock.Now())
+		}
 		responseBegan = true
 		promptRead()
 	}
+	setReading = func(reading bool) {
+		plm.mu.Lock()
+		defer plm.mu.Unlock()
+		if responseBegan {
+			stm.setReading(reading, plm.clock.Now())
+		}
+	}
 	release = func() {
 		plm.mu.Lock()
 		defer plm.mu.Unlock()
 		if responseBegan {
 			plm.recordResidence(&req, plm.clock.Since(now))
 		}
+		stm.setReading(false, plm.clock.Now())
 		promptRead()
 		own.requests--
 		if own.requests == 0 && plm.ownLoads[id] == own {
 			delete(plm.ownLoads, id)
 		}
 	}
-	return began, release
+	return began, setReading, release
 }
 
 // Loads returns the load that this daemon has in flight at each backend server.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -15,6 +15,7 @@
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverlimit"
 	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/suspicion"
 )
 
 // fixture is a placement with the sources of state that it reads.
@@ -73,6 +74,8 @@
 		ReportStalled:   func(loadview.Load) {},
 		LimitShare:      func(string, string, time.Time) float64 { return 1 },
 		Seed:            func() uint64 { return seed },
+		Assess:          func([]*serverregistry.Server, bool, time.Time) []suspicion.Verdict { return nil },
+		ReportFailure:   func(*serverregistry.Server, suspicion.Kind, time.Time) {},
 	}
 	cfg := placement.Config{
 		AvailabilityZone: "a",
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -9,6 +9,7 @@
 	"github.com/cumintally/cumintally/internal/quarantine"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/suspicion"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
@@ -117,6 +118,9 @@
 	Connect func(ctx context.Context, address string, timeout time.Duration) (*upstream.Conn, error)
 	// SuspectPath reports that the backend server at address sent nothing though a response was due.
 	SuspectPath func(address string)
+	// ReportFailure records that a backend server stalled, could not be reached, or broke so many connections that it is
+	// ejected.
+	ReportFailure func(server *serverregistry.Server, kind suspicion.Kind, now time.Time)
 	// RecordRequest adds a request to the retry budget of a service; TakeRetry takes a retry from it and reports
 	// whether one was left; ReturnRetry returns one that was not sent.
 	RecordRequest func(service string, now time.Time)
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -24,6 +24,7 @@
 	"github.com/cumintally/cumintally/internal/relay"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/suspicion"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
@@ -141,6 +142,7 @@
 			}, nil
 		},
 		SuspectPath: func(string) {},
+		ReportFailure: func(*serverregistry.Server, suspicion.Kind, time.Time) {},
 		Connect: func(ctx context.Context, adr string, timeout time.Duration) (*upstream.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, timeout+fix.connectSlack)
 			defer cancel()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -255,6 +255,7 @@
 		StartWithin:       run.deadline.Sub(run.relay.clock.Now()),
 		MaxUsefulForecast: run.maxUsefulForecast(),
 		Avoid:             slices.Concat(run.failedServers, run.decliningServers),
+		Repeatable:        run.route.Repeatable(),
 	}
 }
 
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/suspicion"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
@@ -155,12 +156,22 @@
 // serve those that it has.
 func (snd *send) recordUnconnected(err error) {
 	rly, srv := snd.run.relay, snd.pick.Server
+	now := rly.clock.Now()
 	switch {
 	case snd.ctx.Err() != nil || errors.Is(err, upstream.ErrPathBroken):
 	case errors.Is(err, syscall.ECONNRESET):
-		rly.outliers.RecordFailure(srv.ID, rly.clock.Now())
+		snd.recordReset(now)
 	default:
-		rly.outliers.Eject(srv.ID, rly.clock.Now())
+		rly.outliers.Eject(srv.ID, now)
+		rly.deps.ReportFailure(srv, suspicion.Unreachable, now)
+	}
+}
+
+// recordReset records that the backend server broke a connection. It is reported once it has done so often.
+func (snd *send) recordReset(now time.Time) {
+	rly, srv := snd.run.relay, snd.pick.Server
+	if rly.outliers.RecordFailure(srv.ID, now) {
+		rly.deps.ReportFailure(srv, suspicion.Reset, now)
 	}
 }
 
@@ -218,7 +229,7 @@
 	if snd.ctx.Err() != nil || errors.Is(err, upstream.ErrPathBroken) {
 		return errors.Trace(err)
 	}
-	rly.outliers.RecordFailure(srv.ID, now)
+	snd.recordReset(now)
 	if !snd.hasSettled(now) {
 		rly.deps.ReportCrash(Crash{
 			Request: snd.run.identity(),
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -12,6 +12,7 @@
 
 	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/placement"
+	"github.com/cumintally/cumintally/internal/suspicion"
 )
 
 const (
@@ -214,9 +215,10 @@
 	rly.deps.SuspectPath(srv.Address)
 	if wch.sharedStreams {
 		rly.outliers.Eject(srv.ID, now)
-	} else {
+		rly.deps.ReportFailure(srv, suspicion.Stalled, now)
+	} else if rly.outliers.RecordFailure(srv.ID, now) {
 		// For a plain service, one lost response says nothing about other requests to the server.
-		rly.outliers.RecordFailure(srv.ID, now)
+		rly.deps.ReportFailure(srv, suspicion.Stalled, now)
 	}
 }
 
@@ -332,6 +334,9 @@
 	wch.mu.Lock()
 	defer wch.mu.Unlock()
 	wch.delivering = on
+	if wch.send.pick.SetReading != nil {
+		wch.send.pick.SetReading(!on)
+	}
 	wch.lastProgress = wch.run.relay.clock.Now()
 }
 
--- a/internal/site/gossip.go
+++ b/internal/site/gossip.go
@@ -29,6 +29,7 @@
 	"github.com/cumintally/cumintally/internal/serverregistry"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/storefeed"
+	"github.com/cumintally/cumintally/internal/suspicion"
 )
 
 const (
@@ -40,7 +41,7 @@
 	keySize = 32
 	// sendTimeout bounds the sending of a frame to a peer that does not read.
 	sendTimeout = 300 * time.Millisecond
-	// urgentRoundsPerInterval bounds the rounds with news of crashes between two rounds of messages: requests at the same
+	// urgentRoundsPerInterval bounds the rounds with news of crashes and failures between two rounds of messages: requests at the same
 	// crash are reported together, and in an outage most sends fail.
 	urgentRoundsPerInterval = 5
 	// minPeerBackoff is the backoff after the first failed send to a peer. It is about the time that a starting daemon
@@ -92,6 +93,7 @@
 	plm *placement.Placement
 	mtr *demand.Meter
 	cex *crashExchange
+	sus *suspicion.Tracker
 	rej *rejections.Tracker
 	sel *hub.Selector
 	fdr *storefeed.Feeder
@@ -133,6 +135,7 @@
 	stopping uint64
 	requests uint64
 	crashes  crashProgress
+	reports  uint64
 }
 
 // peerBackoff is the backoff of a peer that cannot be reached.
@@ -161,6 +164,7 @@
 	plm *placement.Placement,
 	mtr *demand.Meter,
 	cex *crashExchange,
+	sus *suspicion.Tracker,
 	rej *rejections.Tracker,
 	les *lease.Lease,
 	met metrics.Registry,
@@ -177,6 +181,7 @@
 		plm: plm,
 		mtr: mtr,
 		cex: cex,
+		sus: sus,
 		rej: rej,
 		sel: hub.New(set.Entry.Name, set.Entry.AvailabilityZone, clk),
 		fdr: storefeed.New(set.Entry.Name, instance, clk),
@@ -273,7 +278,8 @@
 	for ctx.Err() == nil {
 		sleep(ctx, gsp.clk, totalsInterval)
 		gsp.log.Info("messages sent to the other daemons", zap.Int64("rounds", gsp.rounds.Count()), zap.Int64("urgentRounds", gsp.urgentRounds.Count()),
-			zap.Int64("bytes", gsp.msh.BytesSent(frameKindGossip)), zap.Int64("crashBytes", gsp.msh.BytesSent(frameKindCrashes)))
+			zap.Int64("bytes", gsp.msh.BytesSent(frameKindGossip)), zap.Int64("crashBytes", gsp.msh.BytesSent(frameKindCrashes)),
+			zap.Int64("suspicionBytes", gsp.msh.BytesSent(frameKindSuspicions)))
 	}
 }
 
@@ -503,14 +509,16 @@
 	}
 	var crashes crashMessage
 	crashes, prg.crashes = gsp.cex.message(prg.crashes, blocked)
-	if msg == nil && crashes.empty() {
+	var suspicions suspicionMessage
+	suspicions.Reports, prg.reports = gsp.sus.Unsent(prg.reports, now)
+	if msg == nil && crashes.empty() && len(suspicions.Reports) == 0 {
 		return
 	}
 	gsp.sending[dmn.Name] = true
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 		defer cancel()
-		err := gsp.transmitAll(ctx, dmn.Address, msg, crashes)
+		err := gsp.transmitAll(ctx, dmn.Address, msg, crashes, suspicions)
 		gsp.mu.Lock()
 		defer gsp.mu.Unlock()
 		gsp.sending[dmn.Name] = false
@@ -540,8 +548,14 @@
 	}()
 }
 
-// transmitAll sends a message, unless it is nil, and a message about crashes, unless it is empty.
-func (gsp *gossip) transmitAll(ctx context.Context, adr string, msg *gossipMessage, crashes crashMessage) error {
+// transmitAll sends a message, unless it is nil, and messages about failures of servers and about crashes, unless they are
+// empty.
+func (gsp *gossip) transmitAll(ctx context.Context, adr string, msg *gossipMessage, crashes crashMessage, suspicions suspicionMessage) error {
+	if len(suspicions.Reports) > 0 {
+		if err := gsp.transmit(ctx, adr, frameKindSuspicions, suspicions); err != nil {
+			return errors.Trace(err)
+		}
+	}
 	if msg != nil {
 		if err := gsp.transmit(ctx, adr, frameKindGossip, *msg); err != nil {
 			return errors.Trace(err)
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -35,6 +35,7 @@
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/sitecontrol"
 	"github.com/cumintally/cumintally/internal/socket"
+	"github.com/cumintally/cumintally/internal/suspicion"
 	"github.com/cumintally/cumintally/internal/upstream"
 	"github.com/cumintally/cumintally/platform"
 )
@@ -60,6 +61,8 @@
 	newMesh,
 	newServerPaths,
 	newCrashExchange,
+	newSuspicions,
+	newSuspicionExchange,
 	newGossip,
 	newPlacement,
 	newRelay,
@@ -141,6 +144,8 @@
 	cold *coldlimit.Limiter,
 	lim *serverlimit.Limiter,
 	sel *serverpath.Selector,
+	sus *suspicion.Tracker,
+	sux *suspicionExchange,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *placement.Placement {
@@ -158,7 +163,10 @@
 			own := mtr.Rates(now)
 			return demand.Share(own, viw.SiteDemand(own, now), service, model, stc.daemonCount())
 		},
-		Seed: rand.Uint64,
+		Seed:          rand.Uint64,
+		Assess:        sus.Assess,
+		BeginTrial:    sux.beginTrial,
+		ReportFailure: sux.reportFailure,
 		ReportStalled: func(all loadview.Load) {
 			log.Named("placement").Info("an engine sends nothing although responses are due; ejecting it for a while",
 				zap.String("server", all.Server), zap.Int("requests", all.Requests),
@@ -177,6 +185,7 @@
 	sel *serverpath.Selector,
 	acc *retryAccount,
 	cex *crashExchange,
+	sux *suspicionExchange,
 	rej *rejections.Tracker,
 	gsp *gossip,
 	mtr *demand.Meter,
@@ -193,6 +202,7 @@
 		Choose:                 plm.Choose,
 		Connect:                sel.Connect,
 		SuspectPath:            sel.Suspect,
+		ReportFailure:          sux.reportFailure,
 		RecordRequest:          acc.recordRequest,
 		TakeRetry:              acc.takeRetry,
 		ReturnRetry:            acc.bud.ReturnRetry,
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -17,6 +17,7 @@
 	"github.com/cumintally/cumintally/internal/listening"
 	"github.com/cumintally/cumintally/internal/logging"
 	"github.com/cumintally/cumintally/internal/peer"
+	"github.com/cumintally/cumintally/internal/placement"
 	"github.com/cumintally/cumintally/internal/relay"
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/sitecontrol"
@@ -58,6 +59,8 @@
 	Pool       *upstream.Pool
 	Gossip     *gossip
 	Crashes    *crashExchange
+	Suspicions *suspicionExchange
+	Placement  *placement.Placement
 	Mesh       *peer.Mesh
 }
 
@@ -94,6 +97,7 @@
 	wgr.Go(func() { dmn.watchCopies(loops) })
 	wgr.Go(func() { dmn.dep.Gossip.run(loops) })
 	wgr.Go(func() { dmn.dep.Crashes.run(loops) })
+	wgr.Go(func() { dmn.dep.Suspicions.run(loops, dmn.dep.Placement) })
 	var controllerDone sync.WaitGroup
 	controllerDone.Go(func() { dmn.dep.Controller.Run(control) })
 	<-ctx.Done()
--- a/internal/standin/emulator/simulation.go
+++ b/internal/standin/emulator/simulation.go
@@ -17,6 +17,7 @@
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverlimit"
 	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/suspicion"
 )
 
 const (
@@ -192,6 +193,8 @@
 		ReportStalled:   func(loadview.Load) {},
 		LimitShare:      func(string, string, time.Time) float64 { return 1 / float64(sim.scenario.Daemons) },
 		Seed:            sim.rng.Uint64,
+		Assess:          func([]*serverregistry.Server, bool, time.Time) []suspicion.Verdict { return nil },
+		ReportFailure:   func(*serverregistry.Server, suspicion.Kind, time.Time) {},
 	}
 	if sim.policy.IgnoreStaleness {
 		dps.OthersStaleness = func(time.Time) time.Duration { return 0 }
