Try a suspected server by the same few daemons, until it has returned

Each trial went to another daemon, so that a stall of 6 s was encountered by six more daemons. Reporters now try first, and two daemons in turn afterwards.

--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -141,7 +141,7 @@
 				Release:       func() { fix.inFlight.Add(-1) },
 			}, nil
 		},
-		SuspectPath: func(string) {},
+		SuspectPath:   func(string) {},
 		ReportFailure: func(*serverregistry.Server, suspicion.Kind, time.Time) {},
 		Connect: func(ctx context.Context, adr string, timeout time.Duration) (*upstream.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, timeout+fix.connectSlack)
--- a/internal/suspicion/tracker.go
+++ b/internal/suspicion/tracker.go
@@ -19,10 +19,13 @@
 	reportInterval = 500 * time.Millisecond
 	// trialInterval is the time between the start of a suspicion, or the latest trial, and the next trial. A server that
 	// returns waits half of it on average, and a trial that fails is known to have failed before the next one.
-	trialInterval = 800 * time.Millisecond
+	trialInterval = 900 * time.Millisecond
 	// trialStep is the time after which one more daemon may try a server that no daemon has tried: the first ones may have
 	// no request for it, or have ended. It exceeds the time until the other daemons know of a trial.
-	trialStep = 50 * time.Millisecond
+	trialStep = 70 * time.Millisecond
+	// maxTriers is the number of daemons that try a process in turn: more than one, since the link of a daemon may be what
+	// fails, and few, so that few encounter a failure that lasts.
+	maxTriers = 2
 	// maxReportersPerZone bounds the reports on one process that are kept and forwarded for each availability zone. Two
 	// suffice to tell the failure of a server from that of a daemon.
 	maxReportersPerZone = 3
@@ -104,7 +107,9 @@
 		return false
 	}
 	// This daemon's own report counts here also when there are enough for the others.
-	rec.reports[trk.self.Name] = obs
+	if _, known := rec.reports[trk.self.Name]; !known {
+		rec.reports[trk.self.Name] = obs
+	}
 	if !isNews || now.Sub(rec.sentAt) < reportInterval {
 		return false
 	}
@@ -340,7 +345,7 @@
 	if !ok {
 		return true
 	}
-	if !trk.mayTry(srv.Process(), rec, now) {
+	if !trk.mayTry(srv.Process(), rec, trk.deps.Daemons, now) {
 		return false
 	}
 	rec.triedAt[trk.self.Name] = now
@@ -359,6 +364,7 @@
 	verdicts := make([]Verdict, len(srvs)) // Trusted
 	var single []singleReport
 	inZone := map[string]int{}
+	daemons := sync.OnceValue(trk.deps.Daemons)
 	for idx, srv := range srvs {
 		inZone[srv.Zone]++
 		rec, ok := trk.records[srv.Process()]
@@ -369,7 +375,7 @@
 		if sum.reporters == 0 {
 			continue
 		}
-		verdicts[idx] = trk.judge(srv, rec, sum, repeatable, now)
+		verdicts[idx] = trk.judge(srv, rec, sum, repeatable, daemons, now)
 		if sum.reporters == 1 && sum.reporter != trk.self.Name {
 			single = append(single, singleReport{
 				index:    idx,
@@ -453,11 +459,18 @@
 }
 
 // judge returns how this daemon uses a suspected server. The caller holds the lock.
-func (trk *Tracker) judge(srv *serverregistry.Server, rec *record, sum summary, repeatable bool, now time.Time) Verdict {
+func (trk *Tracker) judge(
+	srv *serverregistry.Server,
+	rec *record,
+	sum summary,
+	repeatable bool,
+	daemons func() []Daemon,
+	now time.Time,
+) Verdict {
 	if !sum.inOwnZone && sum.zones < 2 {
 		return RankedLast
 	}
-	if (repeatable || sum.refuses) && trk.mayTry(srv.Process(), rec, now) {
+	if (repeatable || sum.refuses) && trk.mayTry(srv.Process(), rec, daemons, now) {
 		return DueForTrial
 	}
 	return Avoided
