--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -29,6 +29,9 @@
 	now time.Time
 	clk *clockwork.FakeClock
 	svc *route.Service
+	// verdicts holds how backend servers are used that are not trusted, and reported the IDs of those that were reported.
+	verdicts map[string]suspicion.Verdict
+	reported []string
 }
 
 func newFixture() *fixture {
@@ -74,8 +77,17 @@
 		ReportStalled:   func(loadview.Load) {},
 		LimitShare:      func(string, string, time.Time) float64 { return 1 },
 		Seed:            func() uint64 { return seed },
-		Assess:          func([]*serverregistry.Server, bool, time.Time) []suspicion.Verdict { return nil },
-		ReportFailure:   func(*serverregistry.Server, suspicion.Kind, time.Time) {},
+		Assess: func(srvs []*serverregistry.Server, _ bool, _ time.Time) []suspicion.Verdict {
+			verdicts := make([]suspicion.Verdict, len(srvs))
+			for idx, srv := range srvs {
+				verdicts[idx] = fix.verdicts[srv.ID]
+			}
+			return verdicts
+		},
+		BeginTrial: func(*serverregistry.Server, time.Time) bool { return true },
+		ReportFailure: func(srv *serverregistry.Server, _ suspicion.Kind, _ time.Time) {
+			fix.reported = append(fix.reported, srv.ID)
+		},
 	}
 	cfg := placement.Config{
 		AvailabilityZone: "a",
