Bound the bytes of failure reports that a hub forwards

On a site of 295 daemons on which 27 servers fail and return every 900 ms, a hub sent 1.25 MB/s (0.58 of them loads), half of its link.

--- a/internal/site/suspicions.go
+++ b/internal/site/suspicions.go
@@ -162,7 +162,7 @@
 		return
 	case suspicion.Unreachable:
 		// If a link between zones failed, this daemon's requests can take another path before any of them fails.
-		if srv, ok := sux.stc.registry.View().Server(rep.Server); ok && rep.AvailabilityZone == sux.trk.Zone() {
+		if srv, ok := sux.stc.registry.View().Server(rep.Server); ok && rep.Zone == sux.trk.Zone() {
 			sux.sel.Suspect(srv.Address)
 		}
 	case suspicion.Stalled, suspicion.Reset:
--- a/internal/site/suspicions_test.go
+++ b/internal/site/suspicions_test.go
@@ -130,17 +130,65 @@
 	eventually(tst, func() bool { return out.Usable("vm-0", time.Now()) })
 }
 
+// Guards against hubs whose links are full of reports while all daemons of a zone report 27 servers that they cannot reach, and
+// get progress from each of them in turn.
+func TestReportsLeaveLinksOfHubsFree(tst *testing.T) {
+	const (
+		servers = 27
+		// trialInterval is the time after which a suspected server is tried again, and can be reported or make progress.
+		trialInterval = 900 * time.Millisecond
+		measured      = 3 * time.Second
+	)
+	dmn, snt := newTestDaemon(tst, daemonName(0, 1), zoneName(0))
+	var chgs []serverregistry.Change
+	for num := range servers {
+		chgs = append(chgs, serverregistry.Change{
+			Server: serverregistry.Server{
+				ID:        fmt.Sprintf("i-%010d", num),
+				StartTime: 1780844084752,
+			},
+		})
+	}
+	dmn.dep.StoreCache.registry.Apply(chgs, time.Now())
+	ctx, cancel := context.WithTimeout(tst.Context(), measured)
+	defer cancel()
+	var wgr sync.WaitGroup
+	wgr.Go(func() { dmn.dep.Gossip.run(ctx) })
+	kinds := []suspicion.Kind{suspicion.Unreachable, suspicion.Progress}
+	for num := uint64(0); ctx.Err() == nil; num++ {
+		receiveLoads(dmn, true, num+1)
+		for reporter := 2; reporter < testDaemonsPerZone; reporter++ {
+			var msg suspicionMessage
+			for _, chg := range chgs {
+				msg.Reports = append(msg.Reports, suspicion.Report{
+					Server:    chg.Server.ID,
+					StartTime: chg.Server.StartTime,
+					Kind:      kinds[num%2],
+					Daemon:    daemonName(0, reporter),
+					Zone:      zoneName(0),
+				})
+			}
+			dmn.dep.Suspicions.receive(msg)
+		}
+		time.Sleep(trialInterval / 2)
+	}
+	wgr.Wait()
+	rate := float64(snt.toAll()) / measured.Seconds()
+	tst.Logf("%.0f kB/s", rate/1e3)
+	qt.Assert(tst, rate < testLinkRate/2, qt.IsTrue, qt.Commentf("%.0f kB/s on a link of %.0f", rate/1e3, testLinkRate/1e3))
+}
+
 // exampleSuspicions returns a message on failures in which every field is set.
 func exampleSuspicions() suspicionMessage {
 	return suspicionMessage{
 		Reports: []suspicion.Report{
 			{
-				Server:           "vm-1",
-				StartTime:        5,
-				Kind:             suspicion.Unreachable,
-				Daemon:           "entry-1",
-				AvailabilityZone: "zone-a",
-				Age:              time.Second,
+				Server:    "vm-1",
+				StartTime: 5,
+				Kind:      suspicion.Unreachable,
+				Daemon:    "entry-1",
+				Zone:      "zone-a",
+				Age:       time.Second,
 			},
 		},
 	}
--- a/internal/suspicion/outbox.go
+++ b/internal/suspicion/outbox.go
@@ -1,6 +1,9 @@
 package suspicion
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxReports bounds the reports in one message, about six kilobytes.
@@ -24,8 +27,14 @@
 	observedAt time.Time
 }
 
+// add adds a report. It replaces an earlier one of the same daemon and kind on the same process.
 func (box *outbox) add(rep Report, now time.Time) {
 	box.drop(now)
+	box.items = slices.DeleteFunc(box.items, func(itm unsent) bool {
+		old := itm.report
+		old.Age = rep.Age
+		return old == rep
+	})
 	if len(box.items) >= maxUnsent {
 		box.items = box.items[1:]
 	}
--- a/internal/suspicion/report.go
+++ b/internal/suspicion/report.go
@@ -25,9 +25,9 @@
 	Server    string
 	StartTime int64
 	Kind      Kind
-	// Daemon is the name of the daemon that observed it, and AvailabilityZone that daemon's zone.
-	Daemon           string
-	AvailabilityZone string
+	// Daemon is the name of the daemon that observed it, and Zone that daemon's availability zone.
+	Daemon string
+	Zone   string
 	// Age is the time since the observation. The clocks of VMs differ.
 	Age time.Duration
 }
--- a/internal/suspicion/tracker.go
+++ b/internal/suspicion/tracker.go
@@ -28,7 +28,7 @@
 	maxTriers = 2
 	// maxReportersPerZone bounds the reports on one process that are kept and forwarded for each availability zone. Two
 	// suffice to tell the failure of a server from that of a daemon.
-	maxReportersPerZone = 3
+	maxReportersPerZone = 2
 	// stallAge is the age of a stall when it is found, at least: no byte arrived meanwhile. It is below the shortest silence
 	// that counts as a stall by the time by which the last bytes reach one daemon later than another. Bytes that another
 	// daemon got after it contradict the report.
@@ -131,12 +131,12 @@
 
 func (trk *Tracker) ownReport(prc serverregistry.Process, kind Kind, age time.Duration) Report {
 	return Report{
-		Server:           prc.ID,
-		StartTime:        prc.StartTime,
-		Kind:             kind,
-		Daemon:           trk.self.Name,
-		AvailabilityZone: trk.self.AvailabilityZone,
-		Age:              age,
+		Server:    prc.ID,
+		StartTime: prc.StartTime,
+		Kind:      kind,
+		Daemon:    trk.self.Name,
+		Zone:      trk.self.AvailabilityZone,
+		Age:       age,
 	}
 }
 
@@ -153,11 +153,11 @@
 	case Trial:
 		isNews = trk.addTrial(rep.Process(), rep.Daemon, at)
 	case Progress:
-		isNews = trk.addProgress(rep.Process(), rep.AvailabilityZone, at)
+		isNews = trk.addProgress(rep.Process(), rep.Zone, at)
 	case Stalled, Reset, Unreachable:
 		_, isNews = trk.addFailure(rep.Process(), rep.Daemon, observation{
 			kind: rep.Kind,
-			zone: rep.AvailabilityZone,
+			zone: rep.Zone,
 			at:   at,
 		}, now)
 	default:
--- a/internal/suspicion/tracker_test.go
+++ b/internal/suspicion/tracker_test.go
@@ -12,11 +12,11 @@
 // report returns the report of a daemon of the test site on a server, observed now.
 func (sit *simSite) report(dmn, srv int, kind suspicion.Kind) suspicion.Report {
 	return suspicion.Report{
-		Server:           sit.servers[srv].ID,
-		StartTime:        sit.servers[srv].StartTime,
-		Kind:             kind,
-		Daemon:           sit.daemons[dmn].Name,
-		AvailabilityZone: sit.daemons[dmn].AvailabilityZone,
+		Server:    sit.servers[srv].ID,
+		StartTime: sit.servers[srv].StartTime,
+		Kind:      kind,
+		Daemon:    sit.daemons[dmn].Name,
+		Zone:      sit.daemons[dmn].AvailabilityZone,
 	}
 }
 
@@ -158,7 +158,7 @@
 			}
 		}
 	}
-	qt.Assert(tst, forwarded <= 3*testZones*len(sit.servers), qt.IsTrue, qt.Commentf("%d reports", forwarded))
+	qt.Assert(tst, forwarded <= 2*testZones*len(sit.servers), qt.IsTrue, qt.Commentf("%d reports", forwarded))
 	reps, next := trk.Unsent(0, sit.now)
 	qt.Assert(tst, reps, qt.HasLen, 64)
 	again, _ := trk.Unsent(next, sit.now)
