Allow an engine twice its recent pause before it counts as stalled

An engine that is slower than its step model says would be reported in each pass and trusted again at the next event. The test of silent streams fails without the change: an engine with pauses of 300 ms is reported each time.

--- a/internal/placement/health_test.go
+++ b/internal/placement/health_test.go
@@ -99,4 +99,10 @@
 	qt.Assert(tst, pass(300*time.Millisecond), qt.Equals, 0)
 	picks["a"].Release()
 	qt.Assert(tst, pass(0, "b"), qt.Equals, 1)
+	// The pause of b is known from here on: it is slower than the step model says.
+	for range 3 {
+		qt.Assert(tst, pass(300*time.Millisecond, "c"), qt.Equals, 0)
+		qt.Assert(tst, pass(0, "b", "c"), qt.Equals, 0)
+	}
+	qt.Assert(tst, pass(410*time.Millisecond, "c"), qt.Equals, 1)
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -150,6 +150,7 @@
 	writingSince time.Time
 	engine       *route.Engine
 	model        *route.Model
+	pause        recentPause
 }
 
 type routerKey struct {
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -17,6 +17,11 @@
 	// minSilence is the least time without an event after which an engine with streams counts as stalled. A busy VM may get
 	// no processor for about 100 ms.
 	minSilence = 150 * time.Millisecond
+	// pauseFactor multiplies the recent pause between events for the time after which an engine counts as stalled: one that is
+	// slower than the step model says must not be reported in each pass. pauseDecay is the part of it that is left after the
+	// next event.
+	pauseFactor = 2
+	pauseDecay  = 0.9
 	// minObserved is the number of engines with streams from which on the failure of this daemon's own link is told from
 	// that of an engine: not more than half of them fall silent at once.
 	minObserved = 3
@@ -56,6 +61,24 @@
 	stm.own.model = stm.model
 }
 
+// recentPause is the longest recent pause between the events of an engine, as seen at the checks for silence.
+type recentPause struct {
+	lastEvent time.Time
+	pause     time.Duration
+}
+
+// observe records when the latest event arrived.
+func (rcp *recentPause) observe(last time.Time) {
+	if !last.After(rcp.lastEvent) {
+		return
+	}
+	rcp.pause = time.Duration(pauseDecay * float64(rcp.pause))
+	if !rcp.lastEvent.IsZero() {
+		rcp.pause = max(rcp.pause, last.Sub(rcp.lastEvent))
+	}
+	rcp.lastEvent = last
+}
+
 // ReportSilent reports the engines that send nothing although this daemon reads streams from them, and returns them. An
 // engine sends an event to all its streams in each pass, so that this is known long before a response is overdue that has
 // not begun. If most engines are silent, nothing is reported: the link of this daemon has failed then.
@@ -79,18 +102,21 @@
 	defer plm.mu.Unlock()
 	for id, own := range plm.ownLoads {
 		if own.writing == 0 {
+			own.pause = recentPause{}
 			continue
 		}
 		observed++
 		since := own.writingSince
-		if last := plm.outliers.LastProgress(id); last.After(since) {
+		if last := plm.outliers.LastProgress(id); !last.Before(since) {
 			since = last
+			own.pause.observe(last)
 		}
 		if now.Sub(since) < minSilence {
 			continue
 		}
 		all := plm.deps.OthersLoad(id, now).Add(plm.load(id, own, now))
 		limit := max(minSilence, silentPasses*passTime(own.engine, own.model, all))
+		limit = max(limit, min(pauseFactor*own.pause.pause, stallTimeout))
 		if srv, ok := viw.Server(id); ok && now.Sub(since) >= limit {
 			silent = append(silent, Silence{
 				Server: srv,
