--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -11,6 +11,7 @@
 	"github.com/cumintally/cumintally/internal/explanation"
 	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/suspicion"
 )
 
 // explainedDraws is the number of random draws by which the share of each candidate is estimated, to a few hundredths.
@@ -28,12 +29,13 @@
 		}
 	}
 	loads := plm.knownLoads(srvs, now)
+	avoided := plm.avoided(req, srvs, limitShare, now)
 	explained := make([]explanation.Candidate, 0, len(srvs))
 	for _, srv := range srvs {
 		cnd, exp := plm.explainServer(req, srv, loads, now)
 		cnd.Excluded = plm.excludedBy(req, srv, limitShare, now)
 		if cnd.Excluded == "" {
-			cnd.Excluded = plm.failure(req, srv.ID, loads[srv.ID], now)
+			cnd.Excluded = plm.failure(req, srv, avoided[srv.ID], loads[srv.ID], now)
 			if cnd.Excluded == "" {
 				usable = append(usable, srv)
 			} else {
@@ -131,19 +133,30 @@
 	}
 }
 
-// failure returns how a candidate fails requests, empty if it does not. Of a stall it examines the same as ejectIfStalled,
-// without the ejection.
-func (plm *Placement) failure(req Request, id string, knl knownLoad, now time.Time) string {
-	if !plm.outliers.Usable(id, now) {
+// failure returns how a candidate fails requests, empty if it does not.
+func (plm *Placement) failure(req Request, srv *serverregistry.Server, avoided bool, knl knownLoad, now time.Time) string {
+	switch {
+	case avoided:
+		return "daemons report that it fails"
+	case !plm.outliers.Usable(srv.ID, now):
 		return "it is ejected after failures or a stall"
-	}
-	all := knl.others.Add(knl.own)
-	timeout := stallTimeout
-	if req.Service.Engine == nil {
-		timeout = max(stallTimeout, plainStallFactor*plm.usualTime(&req))
-	}
-	if all.ResponseDueFor > timeout && all.SinceLastByte > timeout && now.Sub(plm.outliers.LastProgress(id)) > timeout {
+	case plm.isStalled(srv.ID, knl, plm.stalledAfter(&req, plm.usualTime(&req)), now):
 		return "it sends nothing though responses are due"
+	default:
+		return ""
+	}
+}
+
+// avoided returns the IDs of the candidates among srvs that are avoided because of reported failures.
+func (plm *Placement) avoided(req Request, srvs []*serverregistry.Server, limitShare func() float64, now time.Time) map[string]bool {
+	candidates := slices.DeleteFunc(slices.Clone(srvs), func(srv *serverregistry.Server) bool {
+		return plm.excludedBy(req, srv, limitShare, now) != ""
+	})
+	ids := map[string]bool{}
+	for idx, vrd := range plm.deps.Assess(candidates, req.Repeatable, now) {
+		if vrd == suspicion.Avoided {
+			ids[candidates[idx].ID] = true
+		}
 	}
-	return ""
+	return ids
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -17,6 +17,7 @@
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverlimit"
 	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/suspicion"
 )
 
 // fixture is a placement with the sources of state that it reads.
@@ -34,6 +35,9 @@
 	svc *route.Service
 	// unregistered is the number of choices of groups with unregistered members.
 	unregistered int
+	// verdicts holds how backend servers are used that are not trusted, and reported the IDs of those that were reported.
+	verdicts map[string]suspicion.Verdict
+	reported []string
 }
 
 func newFixture() *fixture {
@@ -86,6 +90,17 @@
 		FirstTokenError:    fix.lrn.Error,
 		RecordFirstToken:   func(obs firsttoken.Observation, now time.Time) { fix.lrn.Record(obs, now) },
 		Reserve:            fix.ldg.Decide,
+		Assess: func(srvs []*serverregistry.Server, _ bool, _ time.Time) []suspicion.Verdict {
+			verdicts := make([]suspicion.Verdict, len(srvs))
+			for idx, srv := range srvs {
+				verdicts[idx] = fix.verdicts[srv.ID]
+			}
+			return verdicts
+		},
+		BeginTrial: func(*serverregistry.Server, time.Time) bool { return true },
+		ReportFailure: func(srv *serverregistry.Server, _ suspicion.Kind, _ time.Time) {
+			fix.reported = append(fix.reported, srv.ID)
+		},
 	}
 	cfg := placement.Config{
 		AvailabilityZone: "a",
--- a/internal/placement/prompts.go
+++ b/internal/placement/prompts.go
@@ -117,15 +117,20 @@
 // countPrompt counts a request like countRequest, but only the tokens that the backend server has to read as unread.
 // When the response begins, the prompt is recorded as cached there, and once more when the request ends. It also returns
 // the time saved.
-func (plm *Placement) countPrompt(req Request, srv *serverregistry.Server, lod admission.Load, now time.Time) (began, release func(), saved time.Duration) {
+func (plm *Placement) countPrompt(
+	req Request,
+	srv *serverregistry.Server,
+	lod admission.Load,
+	now time.Time,
+) (began func(), setReading func(reading bool), release func(), saved time.Duration) {
 	savings := plm.promptSavings(&req, []*serverregistry.Server{srv}, []admission.Load{lod}, now)
 	if savings == nil {
-		began, release = plm.countRequest(req, srv.ID, now)
-		return began, release, 0
+		began, setReading, release = plm.countRequest(req, srv.ID, now)
+		return began, setReading, release, 0
 	}
 	counted := req
 	counted.PromptTokens = req.uncachedTokens(savings, 0)
-	countBegan, countReleased := plm.countRequest(counted, srv.ID, now)
+	countBegan, setReading, countReleased := plm.countRequest(counted, srv.ID, now)
 	if savings[0].tokens > 0 {
 		saved = req.savedTime(savings[0].tokens)
 		plm.deps.ReportSaved(savings[0].tokens)
@@ -151,5 +156,5 @@
 			recordRead()
 		}
 	}
-	return began, release, saved
+	return began, setReading, release, saved
 }
--- a/internal/placement/prompts_test.go
+++ b/internal/placement/prompts_test.go
@@ -13,6 +13,7 @@
 	"github.com/cumintally/cumintally/internal/placement"
 	"github.com/cumintally/cumintally/internal/promptcache"
 	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/suspicion"
 )
 
 // promptFixture has two groups, one and two, of engines that read 10,000 tokens a second, and requests with 6,000 shared
@@ -27,18 +28,21 @@
 		fixture: newFixture(),
 	}
 	dps := placement.Dependencies{
-		Registrations:    fix.reg.View,
-		InService:        func(string) bool { return true },
-		OthersLoad:       fix.viw.OthersLoad,
-		OthersStaleness:  fix.viw.Staleness,
-		LastByte:         func(server string, _ time.Time) time.Time { return fix.trk.LastProgress(server) },
-		FirstTokenError:  fix.lrn.Error,
-		RecordFirstToken: func(obs firsttoken.Observation, now time.Time) { fix.lrn.Record(obs, now) },
-		Reserve:          fix.ldg.Decide,
-		ReportStalled:    func(loadview.Load) {},
-		LimitShare:       func(string, string, time.Time) float64 { return 1 },
-		Seed:             func() uint64 { return 1 },
-		ReportSaved:      func(int) {},
+		Registrations:      fix.reg.View,
+		InService:          func(string) bool { return true },
+		OthersLoad:         fix.viw.OthersLoad,
+		OthersStaleness:    fix.viw.Staleness,
+		LastByte:           func(server string, _ time.Time) time.Time { return fix.trk.LastProgress(server) },
+		FirstTokenError:    fix.lrn.Error,
+		RecordFirstToken:   func(obs firsttoken.Observation, now time.Time) { fix.lrn.Record(obs, now) },
+		Reserve:            fix.ldg.Decide,
+		ReportStalled:      func(loadview.Load) {},
+		ReportUnregistered: func() {},
+		Assess:             func([]*serverregistry.Server, bool, time.Time) []suspicion.Verdict { return nil },
+		ReportFailure:      func(*serverregistry.Server, suspicion.Kind, time.Time) {},
+		LimitShare:         func(string, string, time.Time) float64 { return 1 },
+		Seed:               func() uint64 { return 1 },
+		ReportSaved:        func(int) {},
 	}
 	if retention > 0 {
 		dps.Prompts = promptcache.New(promptcache.Config{
--- a/internal/relay/retry_test.go
+++ b/internal/relay/retry_test.go
@@ -27,6 +27,7 @@
 	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/suspicion"
 	"github.com/cumintally/cumintally/internal/upstream"
 )
 
@@ -154,7 +155,8 @@
 				Release:       func() { fix.inFlight.Add(-1) },
 			}, nil
 		},
-		SuspectPath: func(string) {},
+		SuspectPath:   func(string) {},
+		ReportFailure: func(*serverregistry.Server, suspicion.Kind, time.Time) {},
 		Connect: func(ctx context.Context, adr string, timeout time.Duration) (*upstream.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, timeout+fix.connectSlack)
 			defer cancel()
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -278,6 +278,7 @@
 		Objective:         run.route.Objective,
 		FirstSend:         run.sends == 0,
 		Avoid:             slices.Concat(run.failedServers, run.decliningServers),
+		Repeatable:        run.route.Repeatable(),
 	}
 }
 
--- a/internal/site/providers.go
+++ b/internal/site/providers.go
@@ -39,6 +39,7 @@
 	"github.com/cumintally/cumintally/internal/settings"
 	"github.com/cumintally/cumintally/internal/sitecontrol"
 	"github.com/cumintally/cumintally/internal/socket"
+	"github.com/cumintally/cumintally/internal/suspicion"
 	"github.com/cumintally/cumintally/internal/upstream"
 	"github.com/cumintally/cumintally/platform"
 )
@@ -67,6 +68,8 @@
 	newServerPaths,
 	newPromptCache,
 	newCrashExchange,
+	newSuspicions,
+	newSuspicionExchange,
 	newGossip,
 	newPlacement,
 	edgelimits.NewBudget,
@@ -156,6 +159,8 @@
 	ldg *reservation.Ledger,
 	prc *promptCache,
 	met metrics.Registry,
+	sus *suspicion.Tracker,
+	sux *suspicionExchange,
 	clk clockwork.Clock,
 	log *zap.Logger,
 ) *placement.Placement {
@@ -182,6 +187,9 @@
 		Seed:             rand.Uint64,
 		Prompts:          prc.estimator,
 		ReportSaved:      prc.reportSaved,
+		Assess:           sus.Assess,
+		BeginTrial:       sux.beginTrial,
+		ReportFailure:    sux.reportFailure,
 		ReportStalled: func(all loadview.Load) {
 			log.Named("placement").Info("an engine sends nothing although responses are due; ejecting it for a while",
 				zap.String("server", all.Server), zap.Int("requests", all.Requests),
@@ -212,6 +220,7 @@
 	sel *serverpath.Selector,
 	acc *retryAccount,
 	cex *crashExchange,
+	sux *suspicionExchange,
 	rej *rejections.Tracker,
 	gsp *gossip,
 	mtr *demand.Meter,
@@ -231,6 +240,7 @@
 		Choose:                 plm.Choose,
 		Connect:                sel.Connect,
 		SuspectPath:            sel.Suspect,
+		ReportFailure:          sux.reportFailure,
 		RecordRequest:          acc.recordRequest,
 		TakeRetry:              acc.takeRetry,
 		ReturnRetry:            acc.bud.ReturnRetry,
--- a/internal/standin/emulator/simulation.go
+++ b/internal/standin/emulator/simulation.go
@@ -19,6 +19,7 @@
 	"github.com/cumintally/cumintally/internal/route"
 	"github.com/cumintally/cumintally/internal/serverlimit"
 	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/suspicion"
 )
 
 const (
@@ -201,6 +202,8 @@
 		FirstTokenError:    lrn.Error,
 		RecordFirstToken:   func(obs firsttoken.Observation, now time.Time) { lrn.Record(obs, now) },
 		Reserve:            reservation.New().Decide,
+		Assess:             func([]*serverregistry.Server, bool, time.Time) []suspicion.Verdict { return nil },
+		ReportFailure:      func(*serverregistry.Server, suspicion.Kind, time.Time) {},
 	}
 	if sim.policy.IgnoreStaleness {
 		dps.OthersStaleness = func(time.Time) time.Duration { return 0 }
--- a/internal/standin/promptload/daemon.go
+++ b/internal/standin/promptload/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/cumintally/cumintally/internal/reservation"
 	"github.com/cumintally/cumintally/internal/serverlimit"
 	"github.com/cumintally/cumintally/internal/serverregistry"
+	"github.com/cumintally/cumintally/internal/suspicion"
 )
 
 // maxPrefixes bounds the prefixes with estimates, far above those of a measurement.
@@ -47,19 +48,22 @@
 	clk := clockwork.NewRealClock()
 	learner := firsttoken.New()
 	dps := placement.Dependencies{
-		Registrations:    reg.View,
-		InService:        func(string) bool { return true },
-		OthersLoad:       dmn.loadView.OthersLoad,
-		OthersStaleness:  dmn.loadView.Staleness,
-		LastByte:         dmn.loadView.LastByte,
-		ReportStalled:    func(loadview.Load) {},
-		LimitShare:       func(string, string, time.Time) float64 { return 1 / float64(cfg.Daemons) },
-		Seed:             func() uint64 { return cfg.Seed + uint64(number) },
-		FirstTokenError:  learner.Error,
-		RecordFirstToken: func(obs firsttoken.Observation, now time.Time) { learner.Record(obs, now) },
-		Reserve:          reservation.New().Decide,
-		Prompts:          dmn.estimator,
-		ReportSaved:      func(int) {},
+		Registrations:      reg.View,
+		InService:          func(string) bool { return true },
+		OthersLoad:         dmn.loadView.OthersLoad,
+		OthersStaleness:    dmn.loadView.Staleness,
+		LastByte:           dmn.loadView.LastByte,
+		ReportStalled:      func(loadview.Load) {},
+		ReportUnregistered: func() {},
+		Assess:             func([]*serverregistry.Server, bool, time.Time) []suspicion.Verdict { return nil },
+		ReportFailure:      func(*serverregistry.Server, suspicion.Kind, time.Time) {},
+		LimitShare:         func(string, string, time.Time) float64 { return 1 / float64(cfg.Daemons) },
+		Seed:               func() uint64 { return cfg.Seed + uint64(number) },
+		FirstTokenError:    learner.Error,
+		RecordFirstToken:   func(obs firsttoken.Observation, now time.Time) { learner.Record(obs, now) },
+		Reserve:            reservation.New().Decide,
+		Prompts:            dmn.estimator,
+		ReportSaved:        func(int) {},
 	}
 	plc := placement.Config{
 		AvailabilityZone: zone,
