Leave the learned correction out of decisions to reject

Change: the limit applies to the modelled time, as before; the corrected forecast decides the urgency at the engine, and is what the log and the explanation show.

--- a/internal/firsttoken/learner.go
+++ b/internal/firsttoken/learner.go
@@ -35,9 +35,6 @@
 type Error struct {
 	// Mean is the average without outliers, to be added to a modelled time.
 	Mean time.Duration
-	// Least is the difference that nine of ten requests reached: the fixed part of the time, without the effects of load
-	// that only some requests met.
-	Least time.Duration
 }
 
 // Observation is one request whose response began without a failure.
@@ -148,8 +145,8 @@
 }
 
 // errorOf returns the mean of the middle half of sorted differences (the interquartile mean), on which single outliers
-// have no effect, and their lowest decile. Neither is negative: forecasts are too high at groups with a long queue, but
-// lower ones would admit more requests there until the observed times rise, and so on.
+// have no effect. It is never negative: forecasts are too high at groups with a long queue, but lower ones would raise the
+// urgency of more requests there until the observed times rise, and so on.
 func errorOf(sorted []time.Duration) Error {
 	quarter := len(sorted) / 4
 	middle := sorted[quarter : len(sorted)-quarter]
@@ -157,9 +154,7 @@
 	for _, value := range middle {
 		sum += value
 	}
-	bound := func(value time.Duration) time.Duration { return min(max(0, value), MaxError) }
 	return Error{
-		Mean:  bound(sum / time.Duration(len(middle))),
-		Least: bound(sorted[len(sorted)/10]),
+		Mean: min(max(0, sum/time.Duration(len(middle))), MaxError),
 	}
 }
--- a/internal/placement/firsttoken.go
+++ b/internal/placement/firsttoken.go
@@ -21,13 +21,6 @@
 	return exp.modelled + exp.correction.Mean
 }
 
-// earliestFirstToken returns the time before which first tokens rarely come. Decisions to reject a request use it: a late
-// response is worth something, whereas a rejected request is late whenever it returns, so that one with a fair chance to
-// be on time is sent.
-func (exp expectation) earliestFirstToken() time.Duration {
-	return exp.modelled + exp.correction.Least
-}
-
 // expect forecasts the first token of a request at a group under a load. For plain services it returns zeros.
 func (plm *Placement) expect(req *Request, lod admission.Load, now time.Time) expectation {
 	exp := expectation{
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -133,7 +133,6 @@
 			zap.Int("candidates", run.pick.Candidates),
 			zap.Duration("forecast", run.pick.Forecast),
 			zap.Duration("correction", run.pick.Correction.Mean),
-			zap.Duration("leastCorrection", run.pick.Correction.Least),
 			zap.Bool("exempt", run.pick.Exempt),
 		)
 	}
--- a/internal/site/firsttoken.go
+++ b/internal/site/firsttoken.go
@@ -25,6 +25,6 @@
 		got := lrn.Error(obs.Key, obs.Load, now)
 		log.Info("forecasts of the first token are corrected by observed times", zap.String("service", obs.Key.Service),
 			zap.String("model", obs.Key.Model), zap.Float64("takenSlots", obs.Load),
-			zap.Duration("correction", got.Mean), zap.Duration("leastCorrection", got.Least))
+			zap.Duration("correction", got.Mean))
 	}
 }
