--- a/internal/site/suspicions.go
+++ b/internal/site/suspicions.go
@@ -151,14 +151,15 @@
 	}
 }
 
-// apply does what news of another daemon requires beside the verdicts on servers.
+// apply does what news of another daemon requires beside the verdicts on servers. It logs at the level debug, since each report
+// reaches all daemons; the daemon that makes it logs it, too.
 func (sux *suspicionExchange) apply(rep suspicion.Report) {
 	switch rep.Kind {
 	case suspicion.Trial:
 		return
 	case suspicion.Progress:
 		sux.out.EndOutage(rep.Server)
-		sux.log.Info("another daemon reports that a backend server works again", zap.String("server", rep.Server), zap.String("peer", rep.Daemon))
+		sux.log.Debug("another daemon reports that a backend server works again", zap.String("server", rep.Server), zap.String("peer", rep.Daemon))
 		return
 	case suspicion.Unreachable:
 		// If a link between zones failed, this daemon's requests can take another path before any of them fails.
@@ -168,7 +169,7 @@
 	case suspicion.Stalled, suspicion.Reset:
 	}
 	sux.received.Inc(1)
-	sux.log.Info("another daemon reports that a backend server fails", zap.String("server", rep.Server), zap.String("kind", string(rep.Kind)),
+	sux.log.Debug("another daemon reports that a backend server fails", zap.String("server", rep.Server), zap.String("kind", string(rep.Kind)),
 		zap.String("peer", rep.Daemon), zap.Duration("age", rep.Age))
 }
 
