--- a/internal/callermemory/budget.go
+++ b/internal/callermemory/budget.go
@@ -120,7 +120,7 @@
 }
 
 // slowest returns the arriving claim that occupies the most memory for the longest time without progress, of one caller or of all if
-// caller is empty. The product is compared: a small request that stands still holds up nobody.
+// caller is empty. The product is compared: a small request without progress occupies little.
 func (bud *Budget) slowest(caller string) *Claim {
 	var worst *Claim
 	most := -1.0
--- a/internal/listening/guard.go
+++ b/internal/listening/guard.go
@@ -149,7 +149,7 @@
 	case !full:
 		return con
 	case victim == nil:
-		// A request whose body stands still ends soon and makes room for the next connection.
+		// The request whose body makes the least progress ends, which makes room for the next connection.
 		grd.budget.DropSlowest()
 		victim = con
 	}
--- a/test/clients/harness_test.go
+++ b/test/clients/harness_test.go
@@ -70,16 +70,7 @@
 func startSite(tst *testing.T) *daemon {
 	sto := standin.NewStore()
 	tst.Cleanup(sto.Close)
-	sto.Put("config", "main", map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "bookings", "host": "shop.example", "path-prefix": "/bookings/", "kind": "idempotent", "timeout-ms": 10000, "slo-ms": 500,
-			"priority": 1, "service": "jobs", "max-attempts": 2, "gap-target-ms": 300,
-		}},
-		"services": []any{map[string]any{"name": "jobs", "health-path": "/health", "max-conns": 100}},
-		"tenants":  []any{map[string]any{"name": "polishing", "api-keys": []string{callerKey}, "priority": 1}},
-		"limits":   map[string]any{"max-header-bytes": 8192, "max-body-bytes": maxBody, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	})
+	standin.PutPlainRoute(sto, "shop.example", "/bookings/", "jobs", callerKey, maxBody)
 	standin.NewService(sto, "job-1", "jobs", "zone-a")
 	// Ports that the kernel chose are not safe: it may choose a port again after it was released. An IP for each daemon and ports
 	// below the kernel's range are.
@@ -110,10 +101,7 @@
 		address: adrs[0],
 		host:    "shop.example",
 		path:    "/bookings/7",
-		headers: map[string]string{
-			"Api-Key":                  callerKey,
-			"X-Cumintally-Deadline-Ms": "10000",
-		},
+		headers: standin.CallerHeaders(callerKey, 10*time.Second),
 		largest: maxBody - 64,
 		status:  http.StatusOK,
 		process: func() *fleet.Process {
@@ -175,7 +163,7 @@
 
 // requestHead returns the request line and the ordinary headers of a new request.
 func (dmn *daemon) requestHead() string {
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Cumintally-Request-Id: crowd-%d\r\n", dmn.path, dmn.host, sequence.Add(1))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: crowd-%d\r\n", dmn.path, dmn.host, standin.RequestIDHeader, sequence.Add(1))
 	for name, val := range dmn.headers {
 		head += name + ": " + val + "\r\n"
 	}
@@ -189,7 +177,7 @@
 		return err
 	}
 	req.Host = dmn.host
-	req.Header.Set("X-Cumintally-Request-Id", fmt.Sprintf("ordinary-%d", sequence.Add(1)))
+	req.Header.Set(standin.RequestIDHeader, fmt.Sprintf("ordinary-%d", sequence.Add(1)))
 	for name, val := range dmn.headers {
 		req.Header.Set(name, val)
 	}
