explain: take the priority, the objective and the kind of the route into account

Without them the command ignored capacity that is kept for more urgent requests, and tried suspected servers as for requests that run at most once.

--- a/internal/site/explain.go
+++ b/internal/site/explain.go
@@ -88,13 +88,19 @@
 	}
 	for _, tgt := range rte.Targets {
 		if tgt.Weight > 0 {
-			exp.Targets = append(exp.Targets, exr.explainTarget(qry, tbl, rte, tgt))
+			exp.Targets = append(exp.Targets, exr.explainTarget(qry, tbl, rte, exp.Priority, tgt))
 		}
 	}
 	return exp, nil
 }
 
-func (exr *explainer) explainTarget(qry explanation.Query, tbl *route.Table, rte *route.Route, tgt route.Target) explanation.Target {
+func (exr *explainer) explainTarget(
+	qry explanation.Query,
+	tbl *route.Table,
+	rte *route.Route,
+	priority int,
+	tgt route.Target,
+) explanation.Target {
 	out := explanation.Target{
 		Service:    tgt.Service,
 		Weight:     tgt.Weight,
@@ -111,6 +117,9 @@
 		PromptTokens:   qry.PromptTokens,
 		ExpectedTokens: qry.ExpectedTokens,
 		StartWithin:    rte.Timeout,
+		Priority:       priority,
+		Objective:      rte.Objective,
+		Repeatable:     rte.Repeatable(),
 	}
 	req.SharedParts, req.SharedTokens = qry.SharedParts()
 	if rte.Objective > 0 {
