--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -96,6 +96,7 @@
 		newKey("Site", "KnowWithin", "2s", "time within which a change in the store must be known", durationValue(&set.Site.KnowWithin, 100*time.Millisecond, time.Minute)),
 		newKey("Site", "FirstStart", "false", "whether the whole site starts for the first time", boolValue(&set.Site.FirstStart)),
 		newKey("Site", "MemoryLimit", "0", "memory of the process in megabytes, 0 for no limit", floatValue(&set.Site.MemoryLimit, 0, 1<<20)),
+		newKey("Site", "ShareSuspicions", "false", "whether daemons tell each other which servers fail", boolValue(&set.Site.ShareSuspicions)),
 		newKey("Log", "Level", "info", "least severe level that is logged", choiceValue(&set.Log.Level, "debug", "info", "warn", "error")),
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -228,6 +228,8 @@
 	FirstStart bool
 	// MemoryLimit is the memory in megabytes that the process may use, 0 for no limit.
 	MemoryLimit float64
+	// ShareSuspicions makes the daemons tell each other which backend servers fail, and avoid those.
+	ShareSuspicions bool
 }
 
 // Log holds the settings of the log.
--- a/internal/site/suspicions.go
+++ b/internal/site/suspicions.go
@@ -37,10 +37,12 @@
 
 // suspicionExchange exchanges reports of failures with the other daemons.
 type suspicionExchange struct {
-	stc *storeCache
-	trk *suspicion.Tracker
-	out *outlier.Tracker
-	sel *serverpath.Selector
+	// enabled is set by Site.ShareSuspicions. Otherwise nothing is reported, and what others report is ignored.
+	enabled bool
+	stc     *storeCache
+	trk     *suspicion.Tracker
+	out     *outlier.Tracker
+	sel     *serverpath.Selector
 	// sendSoon makes the next message to the other daemons leave at once.
 	sendSoon func()
 	clk      clockwork.Clock
@@ -80,6 +82,7 @@
 }
 
 func newSuspicionExchange(
+	set *settings.Settings,
 	stc *storeCache,
 	trk *suspicion.Tracker,
 	out *outlier.Tracker,
@@ -91,6 +94,7 @@
 	log *zap.Logger,
 ) *suspicionExchange {
 	sux := &suspicionExchange{
+		enabled:  set.Site.ShareSuspicions,
 		stc:      stc,
 		trk:      trk,
 		out:      out,
@@ -117,7 +121,7 @@
 
 // reportFailure records that a backend server failed this daemon, and tells the others.
 func (sux *suspicionExchange) reportFailure(srv *serverregistry.Server, kind suspicion.Kind, now time.Time) {
-	if !sux.trk.ReportFailure(srv.Process(), kind, now) {
+	if !sux.enabled || !sux.trk.ReportFailure(srv.Process(), kind, now) {
 		return
 	}
 	sux.reported.Inc(1)
@@ -138,6 +142,9 @@
 
 // receive processes the message of another daemon. A daemon that forwards passes on what is new to it.
 func (sux *suspicionExchange) receive(msg suspicionMessage) {
+	if !sux.enabled {
+		return
+	}
 	now := sux.clk.Now()
 	forwards := sux.stc.forwards.Load()
 	for _, rep := range msg.Reports {
@@ -175,6 +182,9 @@
 
 // run reports engines that fall silent and ends suspicions by progress, until ctx ends.
 func (sux *suspicionExchange) run(ctx context.Context, plm *placement.Placement) {
+	if !sux.enabled {
+		return
+	}
 	for last := sux.clk.Now(); ctx.Err() == nil; {
 		sleep(ctx, sux.clk, silenceCheckInterval)
 		now := sux.clk.Now()
--- a/internal/site/suspicions_test.go
+++ b/internal/site/suspicions_test.go
@@ -49,6 +49,7 @@
 	for zne := range 2 {
 		for _, num := range []int{0, 1, 30} {
 			dmn, _ := newTestDaemon(tst, daemonName(zne, num), zoneName(zne))
+			dmn.dep.Suspicions.enabled = true
 			dmn.dep.StoreCache.registry.Apply(chgs, time.Now())
 			sit.daemons[daemonName(zne, num)] = dmn
 		}
