review: a request that crashes runners some events after it has begun is never held back

Case: review/6. BUDGET: a request that crashes the runners that run it reaches runners in more than three retries later than stable-window-ms after the third crash. The request crashes a runner with its eighth event; the relay counts only breaks within 250 ms of the first event and resumes the stream at the next runner.

--- /dev/null
+++ b/review/testdata/standin2/runner.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// runner is a runner of a plain service. It serves one request at a time on a connection.
+type runner struct {
+	wld     *world
+	id      string
+	service string
+	zone    string
+	lst     net.Listener
+	// loseAnswers is the number of answers that are lost next: their requests run, and their connections are reset.
+	loseAnswers atomic.Int64
+	// answer returns the body for a request; nil makes a short one.
+	answer func(req *http.Request) []byte
+	// work is how long a request runs.
+	work time.Duration
+	// crashAfter is the number of events after which a stream whose body is poison crashes the runner.
+	crashAfter int
+
+	mu    sync.Mutex
+	runs  map[string]int
+	conns map[net.Conn]bool
+}
+
+// addRunner starts a runner and registers it.
+func (wld *world) addRunner(id, service, zone string) (*runner, error) {
+	lst, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	rnr := &runner{
+		wld:     wld,
+		id:      id,
+		service: service,
+		zone:    zone,
+		lst:     lst,
+		work:    30 * time.Millisecond,
+		runs:    map[string]int{},
+		conns:   map[net.Conn]bool{},
+	}
+	go rnr.accept()
+	rnr.register()
+	wld.runners = append(wld.runners, rnr)
+	return rnr, nil
+}
+
+// register writes the entry of the runner's present process.
+func (rnr *runner) register() {
+	rnr.wld.store.Put("servers", rnr.id, map[string]any{
+		"service":      rnr.service,
+		"address":      rnr.lst.Addr().String(),
+		"zone":         rnr.zone,
+		"version":      1,
+		"slots":        6,
+		"state":        "ready",
+		"cold-left-ms": 0,
+		"seq":          1,
+		"born":         time.Now().UnixMilli(),
+	})
+}
+
+func (rnr *runner) accept() {
+	lst := rnr.lst
+	for {
+		con, err := lst.Accept()
+		if err != nil {
+			return
+		}
+		rnr.mu.Lock()
+		rnr.conns[con] = true
+		rnr.mu.Unlock()
+		go rnr.serve(con)
+	}
+}
+
+func (rnr *runner) close() {
+	_ = rnr.lst.Close()
+	rnr.mu.Lock()
+	defer rnr.mu.Unlock()
+	for con := range rnr.conns {
+		_ = con.Close()
+	}
+}
+
+func (rnr *runner) serve(con net.Conn) {
+	defer func() {
+		_ = con.Close()
+		rnr.mu.Lock()
+		delete(rnr.conns, con)
+		rnr.mu.Unlock()
+	}()
+	rdr := bufio.NewReader(con)
+	for {
+		req, err := http.ReadRequest(rdr)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		if req.Method == http.MethodPost && strings.HasPrefix(req.URL.Path, "/chat/") {
+			if !rnr.stream(con, req, string(body)) {
+				return
+			}
+			continue
+		}
+		if !rnr.respond(con, req) {
+			return
+		}
+	}
+}
+
+// respond runs a request and answers it. It reports whether the connection stays open.
+func (rnr *runner) respond(con net.Conn, req *http.Request) bool {
+	id := req.Header.Get("X-Cumintally-Request-Id")
+	head := "X-Cumintally-Instance-Id: " + rnr.id + "\r\nKeep-Alive: timeout=20\r\n"
+	if id != "" {
+		head += "X-Cumintally-Request-Id: " + id + "\r\n"
+	}
+	if want := req.Header.Get("X-Cumintally-Expect-Instance"); want != "" && want != rnr.id {
+		return write(con, 421, head, nil)
+	}
+	if strings.HasPrefix(req.URL.Path, "/health") {
+		return write(con, 200, head, nil)
+	}
+	if id == "" {
+		return write(con, 400, head+"X-Cumintally-Not-Executed: 1\r\n", nil)
+	}
+	rnr.mu.Lock()
+	rnr.runs[id]++
+	rnr.mu.Unlock()
+	rnr.wld.logf("runner %s: runs %s (%s %s)", rnr.id, id, req.Method, req.URL.Path)
+	time.Sleep(rnr.work)
+	if rnr.loseAnswers.Load() > 0 && rnr.loseAnswers.Add(-1) >= 0 {
+		rnr.wld.logf("runner %s: the answer to %s is lost, its connection is reset", rnr.id, id)
+		_ = con.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+	body := []byte("done " + id + " by " + rnr.id)
+	if rnr.answer != nil {
+		body = rnr.answer(req)
+	}
+	kind := "text/plain"
+	if strings.HasPrefix(req.URL.Path, "/streams/") {
+		kind = "text/event-stream"
+	}
+	return write(con, 200, head+"X-Cumintally-Server-Seal: seal-"+rnr.id+"\r\nContent-Type: "+kind+"\r\n", body)
+}
+
+func write(con net.Conn, status int, head string, body []byte) bool {
+	text := fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %s\r\n\r\n", status, http.StatusText(status), head, strconv.Itoa(len(body)))
+	if _, err := con.Write([]byte(text)); err != nil {
+		return false
+	}
+	_, err := con.Write(body)
+	return err == nil
+}
