review: runners of the stand-in keep the sheet's limits of connections and slots

Case 9 held 2,000 answers a machine on three runners, more than 110 connections each allow. Its runners are now 48 with 474 connections, 26 slots and a queue of 52, as those of felt-llm; cases 7 and 8 have the limits of felt-llm and ger-orders.

--- a/review/testdata/standin2/lookups.go
+++ b/review/testdata/standin2/lookups.go
@@ -19,9 +19,9 @@
 			"name": "deposit", "host": host, "path-prefix": "/deposits/", "kind": "non_idempotent", "service": "orders", "timeout-ms": 1200, "slo-ms": 150,
 			"max-attempts": 1, "priority": 2,
 		},
-	}, []map[string]any{{"name": "orders", "health-path": "/health"}})
+	}, []map[string]any{{"name": "orders", "health-path": "/health", "max-conns": orderLimits.connections}})
 	for idx, zone := range zones {
-		if _, err := wld.addRunner(fmt.Sprintf("i-orders-%d", idx), "orders", zone); err != nil {
+		if _, err := wld.addRunner(fmt.Sprintf("i-orders-%d", idx), "orders", zone, orderLimits); err != nil {
 			return failed, err
 		}
 	}
@@ -75,6 +75,7 @@
 	for _, wgr := range waits {
 		wgr.Wait()
 	}
+	wld.logLimits()
 	sentBefore, servedBefore := ldg.share(began, fault, "")
 	sentAfter, servedAfter := ldg.share(back.Add(recovery), time.Now(), "")
 	lookups, servedLookups := ldg.share(back.Add(recovery), time.Now(), "lookup")
--- a/review/testdata/standin2/poison.go
+++ b/review/testdata/standin2/poison.go
@@ -41,6 +41,10 @@
 	if want := req.Header.Get("X-Cumintally-Expect-Instance"); want != rnr.id {
 		return write(con, 421, head, nil)
 	}
+	if !rnr.enter() {
+		return write(con, 503, head+"X-Cumintally-Not-Executed: 1\r\n", nil)
+	}
+	defer rnr.leave()
 	rnr.mu.Lock()
 	rnr.runs[id]++
 	rnr.mu.Unlock()
@@ -110,9 +114,9 @@
 			"name": "deposit", "host": host, "path-prefix": "/deposits/", "kind": "non_idempotent", "service": "model", "timeout-ms": 1200, "slo-ms": 150,
 			"max-attempts": 1, "priority": 2,
 		},
-	}, []map[string]any{{"name": "model", "health-path": "/health"}})
+	}, []map[string]any{{"name": "model", "health-path": "/health", "max-conns": modelLimits.connections}})
 	for num := range 9 {
-		rnr, err := wld.addRunner(fmt.Sprintf("i-model-%d", num), "model", zones[num%len(zones)])
+		rnr, err := wld.addRunner(fmt.Sprintf("i-model-%d", num), "model", zones[num%len(zones)], modelLimits)
 		if err != nil {
 			return failed, err
 		}
@@ -153,6 +157,7 @@
 	for _, wgr := range waits {
 		wgr.Wait()
 	}
+	wld.logLimits()
 	num, served := ldg.share(began, time.Now(), "deposit")
 	poisoned.mu.Lock()
 	defer poisoned.mu.Unlock()
--- a/review/testdata/standin2/runner.go
+++ b/review/testdata/standin2/runner.go
@@ -13,13 +13,27 @@
 	"time"
 )
 
+// limits are those of a runner on the sheet of khangai-ger: requests that run at once, requests that wait, and connections.
+type limits struct {
+	slots, queue, connections int
+}
+
+var (
+	// orderLimits are those of a runner of ger-orders, modelLimits those of a runner of felt-llm.
+	orderLimits = limits{slots: 6, queue: 24, connections: 110}
+	modelLimits = limits{slots: 26, queue: 52, connections: 474}
+)
+
 // runner is a runner of a plain service. It serves one request at a time on a connection.
 type runner struct {
 	wld     *world
 	id      string
 	service string
 	zone    string
+	limits  limits
 	lst     net.Listener
+	// places holds an element for each request that runs.
+	places chan struct{}
 	// loseAnswers is the number of answers that are lost next: their requests run, and their connections are reset.
 	loseAnswers atomic.Int64
 	// answer returns the body for a request; nil makes a short one.
@@ -32,10 +46,15 @@
 	mu    sync.Mutex
 	runs  map[string]int
 	conns map[net.Conn]bool
+	// present is the number of requests that run or wait. full counts the requests that were rejected for lack of room, resets the
+	// connections beyond the limit.
+	present int
+	full    int
+	resets  int
 }
 
 // addRunner starts a runner and registers it.
-func (wld *world) addRunner(id, service, zone string) (*runner, error) {
+func (wld *world) addRunner(id, service, zone string, lim limits) (*runner, error) {
 	lst, err := net.Listen("tcp", wld.ip(100)+":0")
 	if err != nil {
 		return nil, err
@@ -45,7 +64,9 @@
 		id:      id,
 		service: service,
 		zone:    zone,
+		limits:  lim,
 		lst:     lst,
+		places:  make(chan struct{}, lim.slots),
 		work:    30 * time.Millisecond,
 		runs:    map[string]int{},
 		conns:   map[net.Conn]bool{},
@@ -63,7 +84,7 @@
 		"address":      rnr.lst.Addr().String(),
 		"zone":         rnr.zone,
 		"version":      1,
-		"slots":        6,
+		"slots":        rnr.limits.slots,
 		"state":        "ready",
 		"cold-left-ms": 0,
 		"seq":          1,
@@ -78,11 +99,58 @@
 		if err != nil {
 			return
 		}
+		if !rnr.admit(con) {
+			_ = con.(*net.TCPConn).SetLinger(0)
+			_ = con.Close()
+			continue
+		}
+		go rnr.serve(con)
+	}
+}
+
+// admit reports whether the runner takes one more connection.
+func (rnr *runner) admit(con net.Conn) bool {
+	rnr.mu.Lock()
+	defer rnr.mu.Unlock()
+	if len(rnr.conns) >= rnr.limits.connections {
+		rnr.resets++
+		return false
+	}
+	rnr.conns[con] = true
+	return true
+}
+
+// enter waits until a request may run. It reports false if too many wait.
+func (rnr *runner) enter() bool {
+	rnr.mu.Lock()
+	if rnr.present >= rnr.limits.slots+rnr.limits.queue {
+		rnr.full++
+		rnr.mu.Unlock()
+		return false
+	}
+	rnr.present++
+	rnr.mu.Unlock()
+	rnr.places <- struct{}{}
+	return true
+}
+
+func (rnr *runner) leave() {
+	<-rnr.places
+	rnr.mu.Lock()
+	defer rnr.mu.Unlock()
+	rnr.present--
+}
+
+// logLimits writes what the limits of the runners did.
+func (wld *world) logLimits() {
+	full, resets := 0, 0
+	for _, rnr := range wld.runners {
 		rnr.mu.Lock()
-		rnr.conns[con] = true
+		full += rnr.full
+		resets += rnr.resets
 		rnr.mu.Unlock()
-		go rnr.serve(con)
 	}
+	wld.logf("runners: %d requests rejected as full, %d connections reset beyond the limit", full, resets)
 }
 
 func (rnr *runner) close() {
@@ -133,6 +201,10 @@
 	if want := req.Header.Get("X-Cumintally-Expect-Instance"); want != "" && want != rnr.id {
 		return write(con, 421, head, nil)
 	}
+	if !rnr.enter() {
+		return write(con, 503, head+"X-Cumintally-Not-Executed: 1\r\n", nil)
+	}
+	defer rnr.leave()
 	if strings.HasPrefix(req.URL.Path, "/health") {
 		return write(con, 200, head, nil)
 	}
--- a/review/testdata/standin2/slowreaders.go
+++ b/review/testdata/standin2/slowreaders.go
@@ -21,6 +21,8 @@
 	reportSize = 240_000
 	// readPause is the time between two reads of 1 kB by a slow reader.
 	readPause = time.Second
+	// reportRunners is the number of runners, each with the limits of one of felt-llm.
+	reportRunners = 48
 	// machines and ends are those of the rule: a tenth of the machines in use, two at least, and three ends in the day on each.
 	machines = 2
 	ends     = 3
@@ -58,6 +60,7 @@
 	if err := errors.Join(errs...); err != nil {
 		return failed, err
 	}
+	wld.logLimits()
 	wld.logf("ends for memory: %v; most held: %v kB", counts, highest)
 	fmt.Printf("ends for memory %v, most held %v kB, limit %d kB\n", counts, highest, memoryMB*1024)
 	if slices.Min(counts) >= ends {
@@ -139,22 +142,22 @@
 	}
 }
 
-// reportSite starts daemons and three runners, which answer requests for reports with long answers.
+// reportSite starts daemons and runners, which answer requests for reports with long answers.
 func (wld *world) reportSite(daemons int) error {
 	var lim syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err != nil || lim.Cur < 4*maxFiles {
 		return fmt.Errorf("the stand-ins need %d descriptors, and have %d", 4*maxFiles, lim.Cur)
 	}
 	wld.putConfig([]map[string]any{{
-		"name": "report", "host": host, "path-prefix": "/reports/", "kind": "idempotent", "service": "orders", "timeout-ms": 60000, "slo-ms": 5000,
+		"name": "report", "host": host, "path-prefix": "/reports/", "kind": "idempotent", "service": "reports", "timeout-ms": 60000, "slo-ms": 5000,
 		"max-attempts": 2, "priority": 2,
-	}}, []map[string]any{{"name": "orders", "health-path": "/health"}})
+	}}, []map[string]any{{"name": "reports", "health-path": "/health", "max-conns": modelLimits.connections}})
 	report := make([]byte, reportSize)
 	for idx := range report {
 		report[idx] = byte('a' + idx%26)
 	}
-	for idx, zone := range zones {
-		rnr, err := wld.addRunner(fmt.Sprintf("i-orders-%d", idx), "orders", zone)
+	for num := range reportRunners {
+		rnr, err := wld.addRunner(fmt.Sprintf("i-reports-%d", num), "reports", zones[num%len(zones)], modelLimits)
 		if err != nil {
 			return err
 		}
--- a/review/testdata/standin2/tokens.go
+++ b/review/testdata/standin2/tokens.go
@@ -62,7 +62,7 @@
 	wld.balance(stop)
 	time.Sleep(8 * time.Second)
 	var ldg ledger
-	ask := func(kind, model string, count string) {
+	ask := func(kind, model, count string) {
 		head := fmt.Sprintf("X-Cumintally-Model: %s\r\nX-Cumintally-Token-Count: %s\r\nX-Cumintally-Prompt-Prefix: %x:40,%x:600\r\n",
 			model, count, rand.IntN(60), rand.Uint64())
 		wld.askWith(&ldg, kind, "POST", "/"+kind+"/", fmt.Sprintf("prompt %x", rand.Uint64()), head, true, 6*time.Second)
--- a/review/testdata/standin2/world.go
+++ b/review/testdata/standin2/world.go
@@ -262,19 +262,6 @@
 	return dmn.cmd.Process.Pid
 }
 
-// running reports whether the process has not ended.
-func (dmn *daemon) running() bool {
-	dmn.mu.Lock()
-	exited := dmn.exited
-	dmn.mu.Unlock()
-	select {
-	case <-exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // status returns a field of /proc/PID/status in kB, as the platform reads it.
 func (dmn *daemon) status(field string) int {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", dmn.pid()))
