review: the loss of answers ends after 1.5 s at each runner

The last loss of the third runner came after the restart of the daemons, since few requests run once lookups are blocked.

--- a/review/testdata/standin2/lookups.go
+++ b/review/testdata/standin2/lookups.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// playLookups: clients ask for the state of one order again and again. Each of the three runners loses the answers to three of
-// its requests. Later all daemons are killed and started again, and must serve as before.
+// playLookups: clients ask for the state of one order again and again. Each of the three runners in turn loses every third answer
+// for 1.5 s, three at most. Later all daemons are killed and started again, and must serve as before.
 func playLookups(wld *world) (int, error) {
 	wld.putConfig([]map[string]any{
 		{
@@ -49,6 +49,7 @@
 		for _, rnr := range wld.runners {
 			rnr.loseAnswers.Store(3)
 			time.Sleep(1500 * time.Millisecond)
+			rnr.loseAnswers.Store(0)
 		}
 	} else {
 		time.Sleep(4500 * time.Millisecond)
